--- a/ironrelay/__main__.py
+++ b/ironrelay/__main__.py
@@ -47,10 +47,7 @@
         loop.add_signal_handler(name, stop.set)
     relay = Relay(config)
     loop.add_signal_handler(signal.SIGHUP, _reload, relay)
-    try:
-        await relay.start()
-    except OSError as error:
-        raise ConfigError(f"LB_LISTEN: {config.listen[0]}:{config.listen[1]}: {error}") from error
+    await relay.start()
     # Guards the tail of the latencies: what lives as long as the node is not looked through again.
     gc.collect()
     gc.freeze()
--- a/ironrelay/choice.py
+++ b/ironrelay/choice.py
@@ -56,6 +56,7 @@
 WATCH_MS = 250.0  # half the first wait before discovery is asked again; doubled at each failure
 WATCH_MAX_MS = 4000.0  # the longest such wait
 CREDIT_MAX = 2.0  # the most credit that a cold server saves up
+AT_ONCE = 4.0  # balancers that may send a server its first call just as it returns
 AIM_MARGIN = 0.98  # attempts worth nothing late are given up at this share of the aim
 
 
@@ -74,6 +75,7 @@
     out: dict[tuple[str, int], float] = field(default_factory=dict)  # attempts out, oldest first
     credit: float = 0.0  # calls, by weight, that it may be sent while cold
     paced_ms: float = -math.inf
+    returned_ms: float = -math.inf  # when operators let it serve again, with no word of its start since
 
 
 @dataclass(slots=True)
@@ -132,6 +134,7 @@
         self.cursor = 0
         self.peers: dict[str, _Peer] = {}
         self.ready: list[_Peer] = []  # those that may be sent to
+        self.cordoned: dict[str, float] = {}  # those that operators have taken out, and when
         self.jobs: dict[str, _Job] = {}
         self.started = False
         self.watch_failures = 0
@@ -181,6 +184,8 @@
                 acts.append(api.Watch())
         elif isinstance(event, api.Membership):
             self._on_membership(now, event, acts)
+        elif isinstance(event, api.Cordon):
+            self._on_cordon(now, event)
         elif isinstance(event, api.Lapsed) and event.id in self.jobs:
             self._end(self.jobs[event.id], acts)
         elif isinstance(event, api.Started) and event.id in self.jobs:
@@ -213,7 +218,30 @@
                 self.peers[server.address] = _Peer(server, credit=self.rng.random(), paced_ms=now)
             else:
                 known.info = server
-        self.ready = [peer for peer in self.peers.values() if peer.info.state is api.ServerState.UP]
+        self._muster()
+
+    def _on_cordon(self, now: float, event: api.Cordon) -> None:
+        if event.out:
+            self.cordoned.setdefault(event.server, now)
+        elif event.server in self.cordoned:
+            since = self.cordoned.pop(event.server)
+            known = self.peers.get(event.server)
+            if known is not None:
+                # Guard: as a rule it was out for a restart, of which the list tells seconds late; sent its
+                # full share it would tip. Where the list has told of one since, that start is the true one.
+                # Harm: one that was not restarted is spared for as long as a cold one is.
+                seen = known.info.launched_ms is not None and known.info.launched_ms >= since
+                # Guard: with little traffic a drawn credit left it idle for seconds after it was wanted back.
+                # It gets its first call at once, but not from many balancers together.
+                credit = 1.0 if self.rng.random() * self.cfg.siblings < AT_ONCE else self.rng.random()
+                back = _Peer(known.info, credit=credit, paced_ms=now)
+                back.returned_ms = -math.inf if seen else now
+                self.peers[event.server] = back
+        self._muster()
+
+    def _muster(self) -> None:
+        up = (peer for peer in self.peers.values() if peer.info.state is api.ServerState.UP)
+        self.ready = [peer for peer in up if peer.info.address not in self.cordoned]
 
     # ------------------------------------------------------------- admission
 
@@ -296,7 +324,8 @@
         credit at its present share (from `cold_from`, even over `cold_ms`) of what is asked here for each
         server; its first credit is drawn, so that many quiet balancers do not all send it a call at once."""
         launched, cold_ms = peer.info.launched_ms, self.cfg.cold_ms
-        if launched is None or now - launched >= cold_ms:
+        launched = max(-math.inf if launched is None else launched, peer.returned_ms)
+        if now - launched >= cold_ms:
             return True
         warmth = self.cfg.cold_from + (1.0 - self.cfg.cold_from) * max(0.0, now - launched) / cold_ms
         earned = warmth * self.asked_rate / len(self.ready) * (now - peer.paced_ms)
--- a/ironrelay/interface.py
+++ b/ironrelay/interface.py
@@ -209,7 +209,15 @@
     report: dict[str, float] | None = None
 
 
-Event = Membership | Moved | Request | Started | Outcome | Lapsed | Alarm | Probed
+@dataclass(slots=True)
+class Cordon:
+    """Operators take a server out by hand, or let it serve again. It holds whatever the list says."""
+
+    server: str
+    out: bool
+
+
+Event = Membership | Moved | Cordon | Request | Started | Outcome | Lapsed | Alarm | Probed
 
 
 # ------------------------------------------------------------------- actions
--- a/ironrelay/net/config.py
+++ b/ironrelay/net/config.py
@@ -14,6 +14,13 @@
 from ironrelay.settings import settings_from
 
 Address = tuple[str, int]
+# What the environment says before the file does.
+VARIABLES = (
+    ("LB_NAME", "name"),
+    ("LB_LISTEN", "listen"),
+    ("LB_DISCOVERY", "discovery"),
+    ("LB_OPS", "ops"),
+)
 
 
 class ConfigError(Exception):
@@ -42,6 +49,9 @@
     settings: Settings
     bounds: Bounds
     known: dict[str, Any]  # the server list as last had, in discovery's form
+    ops: Address | None = None  # where operators call; without it there is no such door
+    inherited: int | None = None  # the descriptor of a listening socket that the platform holds
+    state: str | None = None  # the folder for what outlives a process
 
 
 def parse_address(text: object) -> Address:
@@ -65,17 +75,25 @@
         raise ConfigError(f"LB_CONFIG: {path}: {error}") from error
     if not isinstance(row, dict):
         raise ConfigError(f"LB_CONFIG: {path}: not an object")
-    for variable, key in (("LB_NAME", "name"), ("LB_LISTEN", "listen"), ("LB_DISCOVERY", "discovery")):
+    for variable, key in VARIABLES:
         if environ.get(variable) and not (again and key == "discovery" and row.get(key)):
             row[key] = environ[variable]
     try:
-        return _typed(row)
+        return _typed(row, _descriptor(environ.get("LB_INHERITED_FD")), environ.get("TMPDIR") or None)
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         kind = "missing key " if isinstance(error, KeyError) else ""
         raise ConfigError(" ".join(f"LB_CONFIG: {path}: {kind}{error}".split())) from error
 
 
-def _typed(row: dict[str, Any]) -> Config:
+def _descriptor(text: str | None) -> int | None:
+    if not text:
+        return None
+    if not text.isascii() or not text.isdigit():
+        raise ConfigError(f"LB_INHERITED_FD: {text!r} is not a descriptor's number")
+    return int(text)
+
+
+def _typed(row: dict[str, Any], inherited: int | None, state: str | None) -> Config:
     settings: dict[str, Any] = row["settings"]
     allowed: dict[str, Any] = settings.get("bounds") or {}
     limits: dict[str, Any] = row.get("limits") or {}
@@ -92,15 +110,25 @@
         raise ValueError("known: not an object")
     return Config(
         name=str(row.get("name") or ""),
-        listen=parse_address(row["listen"]),
-        discovery=parse_address(row["discovery"]),
+        listen=_address(row, "listen"),
+        discovery=_address(row, "discovery"),
         seed=_seed(row.get("seed")),
         settings=settings_from(settings),
         bounds=Bounds(**{key: kind(value) for key, (kind, value) in given.items() if value is not None}),
         known=known,
+        ops=_address(row, "ops") if row.get("ops") else None,
+        inherited=inherited,
+        state=state,
     )
 
 
+def _address(row: dict[str, Any], key: str) -> Address:
+    try:
+        return parse_address(row[key])
+    except ValueError as error:
+        raise ValueError(f"{key}: {error}") from error
+
+
 def _seed(given: object) -> int:
     """Hexadecimal text or a whole number; without one, the system's random source."""
     if isinstance(given, int):
--- /dev/null
+++ b/ironrelay/net/listener.py
@@ -0,0 +1,47 @@
+"""The socket on which callers arrive: bound here, or held by the platform and inherited.
+
+Where the platform holds it, an old and a new process of one node accept from it side by side during an
+upgrade. Letting go of it therefore means closing one descriptor and nothing else: `shutdown()` would end it
+for both.
+"""
+
+from __future__ import annotations
+
+import os
+import socket
+import stat
+
+from ironrelay.net.config import Address, ConfigError
+
+BACKLOG = 1024  # callers that wait to be accepted; a planned restart brings them by thousands
+
+
+def open_listener(address: Address, inherited: int | None) -> socket.socket:
+    """The listening socket, or a ConfigError that says in one line why there is none."""
+    return bind(address, "LB_LISTEN") if inherited is None else _adopt(inherited)
+
+
+def bind(address: Address, key: str) -> socket.socket:
+    host, port = address
+    try:
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        return socket.create_server(address, family=family, backlog=BACKLOG)
+    except OSError as error:
+        raise ConfigError(f"{key}: {host}:{port}: {error}") from error
+
+
+def _adopt(descriptor: int) -> socket.socket:
+    try:
+        if not stat.S_ISSOCK(os.fstat(descriptor).st_mode):
+            raise OSError("not a socket")
+        os.set_inheritable(descriptor, False)  # what this process starts has no business with it
+        sock = socket.socket(fileno=descriptor)
+        if sock.family not in (socket.AF_INET, socket.AF_INET6) or sock.type != socket.SOCK_STREAM:
+            sock.detach()
+            raise OSError("not a TCP socket")
+        if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            sock.detach()
+            raise OSError("not listening")
+    except OSError as error:
+        raise ConfigError(f"LB_INHERITED_FD: {descriptor}: {error}") from error
+    return sock
--- a/ironrelay/net/node.py
+++ b/ironrelay/net/node.py
@@ -17,6 +17,7 @@
     Action,
     Alarm,
     Cancel,
+    Cordon,
     Event,
     Fail,
     Lapsed,
@@ -37,6 +38,7 @@
     Watch,
 )
 from ironrelay.net.config import Bounds
+from ironrelay.net.stats import Ended, Figures
 
 log = logging.getLogger("ironrelay.node")
 
@@ -103,6 +105,7 @@
 
 @dataclass(slots=True)
 class _Open:
+    service: str
     give_up_ms: float
     attempts: list[_Attempt] = field(default_factory=list)
     over: bool = False  # answered, or the client has gone
@@ -116,8 +119,10 @@
         self.settings, self.bounds = settings, bounds
         self.balancer = Balancer(settings, seed, now)
         self.servers: dict[str, ServerState] = {}
+        self.cordoned: set[str] = set()  # taken out by hand; also ids that the list does not name just now
         self.open: dict[str, _Open] = {}
         self.classes = frozenset(item.name for item in settings.classes)
+        self.figures = Figures(self.classes)
         self._unanswered = 0
         self._timers: list[tuple[float, int, str, str, int]] = []  # due, order, kind, id or name, attempt
         self._crowded = TIMERS  # how many timers are looked through for those of what is over
@@ -130,18 +135,28 @@
 
     @property
     def can_serve(self) -> bool:
-        return any(state is ServerState.UP for state in self.servers.values())
+        return any(self._may_send(server) for server in self.servers)
 
     @property
-    def idle(self) -> bool:
-        return self._unanswered == 0
+    def avoided(self) -> int:
+        """Listed servers that are sent nothing, though the list would allow it."""
+        return sum(1 for server in self.servers if server in self.cordoned)
+
+    def _may_send(self, server: str) -> bool:
+        return self.servers.get(server) is ServerState.UP and server not in self.cordoned
+
+    @property
+    def active(self) -> int:
+        """Requests that are taken and not ended."""
+        return self._unanswered
 
     def request(self, now: float, request: Request) -> list[Effect]:
         if request.id in self.open:
             raise HeldAlreadyError(request.id)
         if self._unanswered >= self.bounds.max_open:
+            self.figures.ended(request.service, Ended.SHED)
             return [Answer(request.id, REFUSED)]  # the module never sees it, so it is never sent
-        self.open[request.id] = _Open(request.give_up_at_ms)
+        self.open[request.id] = _Open(request.service, request.give_up_at_ms)
         self._unanswered += 1
         self._timer(request.give_up_at_ms + BACKSTOP_MS, "backstop", request.id)
         return self._run(now, request)
@@ -176,6 +191,17 @@
                 self.servers[server.address] = server.state
         return self._run(now, Membership(form, servers))
 
+    def knows(self, server: str) -> bool:
+        """Whether there is such a server: one that was taken out stays known, whatever the list says."""
+        return server in self.servers or server in self.cordoned
+
+    def cordon(self, now: float, server: str, out: bool) -> list[Effect]:
+        """Operators take this server out, or let it serve again. Saying either twice changes nothing."""
+        if out is (server in self.cordoned):
+            return []
+        (self.cordoned.add if out else self.cordoned.discard)(server)
+        return self._run(now, Cordon(server, out))
+
     def moved(self, now: float) -> list[Effect]:
         """Discovery has another address from now on."""
         return self._run(now, Moved())
@@ -250,7 +276,7 @@
         number = len(entry.attempts)
         left = entry.give_up_ms - now
         may = not entry.over and left > 0 and number < self.settings.max_attempts
-        may = may and self.servers.get(action.server) is ServerState.UP
+        may = may and self._may_send(action.server)
         may = may and (self.bounds.second_copies or not entry.out())
         entry.attempts.append(_Attempt(action.server, now))
         if not may:
@@ -287,6 +313,8 @@
         if entry is None or entry.over:  # Guards the caller against a second answer
             return
         self._effects.append(answer)
+        how = {SERVED: Ended.OK, REFUSED: Ended.SHED}.get(answer.status, Ended.ERRORS)
+        self.figures.ended(entry.service, how)
         self._finish(id, entry)
 
     def _finish(self, id: str, entry: _Open) -> None:
--- a/ironrelay/net/relay.py
+++ b/ironrelay/net/relay.py
@@ -3,17 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import logging
 import math
 import re
 import time
+from typing import Any
 
 from ironrelay.interface import ListForm, Request, Result
+from ironrelay.net.admin import Admin
 from ironrelay.net.config import Config
 from ironrelay.net.discovery import Discovery, Entry, entries_from
+from ironrelay.net.listener import bind, open_listener
 from ironrelay.net.node import Abort, Answer, Dispatch, Effect, HeldAlreadyError, Node, StartProbe, StartWatch
 from ironrelay.net.server import BadRequestError, Call, Server
+from ironrelay.net.state import State
+from ironrelay.net.stats import Ended
 from ironrelay.net.upstream import Upstream
 
 log = logging.getLogger("ironrelay.relay")
@@ -27,6 +33,7 @@
 # What a deadline loses on the ways there and back. Measured: up to 1 ms each way, and at the 99th percentile
 # 1.7 ms from a request's arrival to its first attempt and 1.4 ms from an answer to the caller.
 MARGIN_MS = 5.0
+FIRST_LIST_S = 1.5  # how long a process that takes over waits for discovery; then the known list has to do
 REWATCH_S = 0.5  # where lists are pushed the module never asks; the agent answers at no cost
 METHODS = (b"GET", b"POST")
 WHOLE = re.compile("[0-9]{1,7}")  # in ms: some hours, far past every class's patience
@@ -42,11 +49,15 @@
         self.config = config
         self.loop = asyncio.get_running_loop()
         self.most = 0
+        self.processes = 1  # of this node, while one takes over from another
+        self.state = State(config.state, self._shared, self._company)
         self.node = Node(config.settings, config.bounds, config.seed, now_ms())
-        self.upstream = Upstream(config.bounds, self._make_room, self._ended, self._probed)
-        self.server = Server(
-            config.listen, self._make_room, self._asked, self._gone, lambda: self.node.can_serve
+        self.upstream = Upstream(
+            config.bounds, self._make_room, self._ended, self._probed, self.node.figures.tried
         )
+        self.server = Server(self._make_room, self._asked, self._gone, lambda: self.node.can_serve)
+        self.admin = Admin(self)
+        self._told = asyncio.Event()  # discovery has said something
         since = config.known.get("seq")
         self.discovery = Discovery(config.discovery, since if isinstance(since, int) else 0, self._heard)
         self.calls: dict[str, Call] = {}
@@ -57,11 +68,21 @@
         self._armed = 0.0
 
     async def start(self) -> None:
-        """Listen, and begin with the list as last known: calls can be served before discovery answers."""
-        await self.server.start()  # first, so that a bad address ends the node before it has asked anything
+        """Listen, and begin with the list as last known: calls can be served before discovery answers.
+        Where another process serves meanwhile, callers are taken once discovery has answered."""
+        # First, so that a bad address ends the node before it has asked anything.
+        sock = open_listener(self.config.listen, self.config.inherited)
+        self.state.start()  # before anything can be sent: what is out by hand stays out
+        if self.config.ops is not None:
+            await self.admin.start(bind(self.config.ops, "LB_OPS"))
         self._heard(ListForm.CACHED, entries_from(self.config.known.get("hosts")))
         if not self.config.settings.ask_discovery:
             self.discovery.watch()
+        if self.config.inherited is not None:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(FIRST_LIST_S):
+                    await self._told.wait()
+        await self.server.start(sock)
 
     def reload(self, config: Config) -> None:
         """Take over what may change while the node runs: the address of discovery, and the limits."""
@@ -81,14 +102,17 @@
             self.discovery.watch()
 
     async def drain(self) -> None:
-        await self.server.drain()
+        await self.server.drain(handover=self.config.inherited is not None)
         self.stopped = True
+        self.admin.close()
+        self.state.close()
         self.discovery.close()
         self.upstream.close()
         if self._timer is not None:
             self._timer.cancel()
 
     def _share(self, sockets: int) -> None:
+        sockets //= self.processes
         self.most = max(8, sockets - min(SPARE, max(24, sockets // SPARE_PART)))
         self.server.most = max(6, int(self.most * CALLERS))
 
@@ -99,6 +123,49 @@
         # Callers first: they connect again at no cost, while a new connection costs a server work.
         return self.server.close_idle() or self.upstream.close_idle()
 
+    # --------------------------------------------------------------- operators
+
+    def serving(self) -> bool:
+        return self.server.listening and self.node.can_serve
+
+    def figures(self) -> dict[str, Any]:
+        return self.node.figures.report(self.node.active, len(self.node.servers), self.node.avoided)
+
+    async def cordon(self, member: str) -> bool:
+        return await self._by_hand(member, out=True)
+
+    async def uncordon(self, member: str) -> bool:
+        return await self._by_hand(member, out=False)
+
+    async def _by_hand(self, member: str, out: bool) -> bool:
+        if not self.node.knows(member):
+            return False
+        self._cordon(member, out)  # here at once; whatever comes of the file, it holds in this process
+        await self.state.put(member, out)
+        self._cordon(member, out)  # again: meanwhile the file may have been read as it was before
+        return True
+
+    def _cordon(self, member: str, out: bool) -> None:
+        if out is not (member in self.node.cordoned):
+            log.info("%s %s", member, "is taken out by hand" if out else "may serve again")
+        self.upstream.cordon(member, out)
+        self._apply(self.node.cordon(now_ms(), member, out))
+
+    def _shared(self, cordoned: frozenset[str]) -> None:
+        """What another process of this node, or the one before it, has been told."""
+        for member in self.node.cordoned - cordoned:
+            self._cordon(member, out=False)
+        for member in sorted(cordoned - self.node.cordoned):
+            self._cordon(member, out=True)
+
+    def _company(self, processes: int) -> None:
+        """While an old and a new process of one node overlap, they share its descriptors."""
+        self.processes = processes
+        self._share(self.config.bounds.sockets)
+        while len(self.server.callers) + self.upstream.descriptors > self.most:
+            if not (self.server.close_idle() or self.upstream.close_idle()):
+                break
+
     # ------------------------------------------------------------------ events
 
     def _asked(self, call: Call) -> None:
@@ -126,6 +193,7 @@
         if self.server.draining:
             left = (self.server.drained_s - self.loop.time()) * 1000.0 + self.longest_ms + STOP_MS
             if left < min(timeout, LEAST_MS):
+                self.node.figures.ended(service, Ended.SHED)
                 raise BadRequestError(503, "this node stops before the answer could be there")
             timeout = min(timeout, left)
         hint = _figure(call.header(b"work-hint"), "Work-Hint", DECIMAL)
@@ -160,6 +228,8 @@
             else:
                 self.loop.call_later(REWATCH_S, self._rewatch)
             return
+        if form is not ListForm.CACHED:
+            self._told.set()
         self.upstream.update(entries, whole=form is not ListForm.DELTA)
         servers = tuple(server for server, _ in entries)
         self._apply(self.node.members(now_ms(), form, servers))
--- a/ironrelay/net/server.py
+++ b/ironrelay/net/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -11,7 +12,7 @@
 
 import httptools
 
-from ironrelay.net.config import Address
+from ironrelay.net.listener import BACKLOG
 
 log = logging.getLogger("ironrelay.server")
 
@@ -115,44 +116,44 @@
 
     def __init__(
         self,
-        listen: Address,
         make_room: Callable[[], bool],
         asked: Callable[[Call], None],
         gone: Callable[[Call], None],
         healthy: Callable[[], bool],
     ) -> None:
-        self.listen, self.make_room, self.asked, self.gone, self.healthy = (
-            listen,
-            make_room,
-            asked,
-            gone,
-            healthy,
-        )
+        self.make_room, self.asked, self.gone, self.healthy = make_room, asked, gone, healthy
         self.callers: dict[Caller, None] = {}  # in order of their arrival
         self.quiet: dict[Caller, None] = {}  # those on which nothing is asked, the longest so first
         self.most = 1 << 20  # callers that may be connected at a time
         self.surplus = 0  # of the callers, those past the descriptors
         self.rejected = 0  # requests that can't be taken, since they were last logged
         self.why = ""  # the last one of them
-        self.draining = self.closing = False
+        self.draining = self.closing = self.handover = False
         self.drained_s = 0.0  # since when
         self.loop = asyncio.get_running_loop()
         self._listener: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
 
-    async def start(self) -> None:
-        host, port = self.listen
-        self._listener = await self.loop.create_server(lambda: Caller(self), host, port, backlog=512)
+    async def start(self, sock: socket.socket) -> None:
+        self._listener = await self.loop.create_server(lambda: Caller(self), sock=sock, backlog=BACKLOG)
         self._sweep()
 
+    @property
+    def listening(self) -> bool:
+        return self._listener is not None and not self.draining
+
     @property
     def port(self) -> int:
         assert self._listener is not None
         return int(self._listener.sockets[0].getsockname()[1])
 
-    async def drain(self) -> None:
-        """Answer what still comes, then close; returns when no caller is left."""
+    async def drain(self, handover: bool = False) -> None:
+        """Answer what still comes, then close; returns when no caller is left. At a handover another process
+        accepts from the same socket: this one lets go of it at once, and sends its callers over there."""
         self.draining, self.drained_s = True, self.loop.time()
+        self.handover = self.closing = handover
+        if self._listener is not None and handover:
+            self._listener.close()
         await asyncio.sleep(LINGER_S)
         if self._listener is not None:
             self._listener.close()
@@ -387,7 +388,8 @@
             call = self.waiting.popleft()
             self.ahead -= len(call.body)
             if call.target.partition(b"?")[0] == b"/_health":
-                healthy = self.server.healthy() and not self.server.draining
+                # At a handover the node as such goes on, whichever of its processes is asked.
+                healthy = self.server.healthy() and (self.server.handover or not self.server.draining)
                 self._write(200 if healthy else 503, b"")
                 continue
             if self.surplus:
--- /dev/null
+++ b/ironrelay/net/stats.py
@@ -0,0 +1,63 @@
+"""The figures that a node reports: counters that only grow, each moved where its event happens.
+
+They know nothing of a protocol. Whoever ends a request or writes an attempt whole says so here, once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+
+class Ended(Enum):
+    """How a request ended."""
+
+    OK = "ok"
+    SHED = "shed"
+    ERRORS = "errors"
+
+
+@dataclass(slots=True)
+class _Counts:
+    ok: int = 0
+    shed: int = 0
+    errors: int = 0
+
+
+class Figures:
+    """Counts from the start of the process. Classes are those of the settings, so there are only so many."""
+
+    def __init__(self, classes: Iterable[str]) -> None:
+        self.classes = {name: _Counts() for name in classes}
+        self.tries = 0
+
+    def ended(self, service: str | None, how: Ended) -> None:
+        counts = self.classes.get(service or "")
+        if counts is None:  # no class of the settings: such a request was never one
+            return
+        match how:
+            case Ended.OK:
+                counts.ok += 1
+            case Ended.SHED:
+                counts.shed += 1
+            case Ended.ERRORS:
+                counts.errors += 1
+
+    def tried(self) -> None:
+        """An attempt has been written whole to a server."""
+        self.tries += 1
+
+    def report(self, active: int, pool_size: int, pool_ejected: int) -> dict[str, Any]:
+        """All figures by the names that operators know; what is not a count is told by the caller."""
+        return {
+            "responses": {
+                name: {"ok": counts.ok, "shed": counts.shed, "errors": counts.errors}
+                for name, counts in self.classes.items()
+            },
+            "tries": self.tries,
+            "active": active,
+            "pool_size": pool_size,
+            "pool_ejected": pool_ejected,
+        }
--- a/ironrelay/net/upstream.py
+++ b/ironrelay/net/upstream.py
@@ -54,6 +54,7 @@
     message: bytes
     done: Callable[[Result, Report | None, bytes], None]
     began_s: float = 0.0
+    wrote: Callable[[], None] = lambda: None  # its last byte went out
     conn: Connection | None = None
     task: asyncio.Task[None] | None = None
 
@@ -62,6 +63,7 @@
 class _Pool:
     """A server's address, whether it may be sent to, and its idle connections, the latest used last."""
 
+    host: str
     dial: Address
     launched_ms: float | None
     up: bool
@@ -70,9 +72,18 @@
 
 
 class Upstream:
-    def __init__(self, bounds: Bounds, make_room: Callable[[], bool], ended: Ended, probed: Probed) -> None:
+    def __init__(
+        self,
+        bounds: Bounds,
+        make_room: Callable[[], bool],
+        ended: Ended,
+        probed: Probed,
+        tried: Callable[[], None] = lambda: None,
+    ) -> None:
         self.bounds, self.make_room, self.ended, self.probed = bounds, make_room, ended, probed
+        self.tried = tried  # an attempt was written whole
         self.pools: dict[str, _Pool] = {}
+        self.cordoned: set[str] = set()  # hosts to which nothing new goes out, whatever their pools say
         self.live: dict[tuple[str, int], _Exchange] = {}
         self.opened = self.coming = 0  # connections, and those that are coming up
         self.spoilt, self.why = 0, ""  # answers that were none, since they were last logged; the last one
@@ -94,13 +105,24 @@
                 continue
             up = server.state is ServerState.UP
             if pool is None:
-                self.pools[server.address] = _Pool(dial, server.launched_ms, up)
+                self.pools[server.address] = _Pool(server.address, dial, server.launched_ms, up)
                 continue
             if not up or pool.dial != dial or pool.launched_ms != server.launched_ms:
                 # Guards against writing to a connection of a process that has ended or is about to.
                 self._drop(pool)
             pool.dial, pool.launched_ms, pool.up = dial, server.launched_ms, up
 
+    def cordon(self, host: str, out: bool) -> None:
+        """From now on no attempt's first byte goes there: also not on a connection that is coming up."""
+        (self.cordoned.add if out else self.cordoned.discard)(host)
+        pool = self.pools.get(host)
+        if out and pool is not None:
+            self._retire(pool)
+
+    def _open_to(self, host: str) -> bool:
+        pool = self.pools.get(host)
+        return pool is not None and pool.up and host not in self.cordoned
+
     def _drop(self, pool: _Pool) -> None:
         pool.up = False
         self._retire(pool)
@@ -117,7 +139,7 @@
             del self.live[id, attempt]
             self.ended(id, attempt, result, report, body)
 
-        exchange = self.live[id, attempt] = _Exchange(message, done, self.loop.time())
+        exchange = self.live[id, attempt] = _Exchange(message, done, self.loop.time(), self.tried)
         self._begin(host, exchange)
 
     def abort(self, id: str, attempt: int) -> None:
@@ -170,7 +192,8 @@
     def _begin(self, host: str, exchange: _Exchange) -> None:
         pool = self.pools.get(host)
         rested = self.loop.time() - SETTLE_S
-        for conn in reversed(pool.idle if pool is not None else ()):  # the latest used: the others age
+        idle = pool.idle if pool is not None and self._open_to(host) else ()
+        for conn in reversed(idle):  # the latest used: the others age
             if conn.idle_since > rested:
                 continue
             conn.pool.idle.remove(conn)
@@ -182,7 +205,7 @@
 
     async def _open(self, host: str, exchange: _Exchange) -> None:
         pool = self.pools.get(host)
-        if pool is None or not pool.up or not self.make_room():
+        if pool is None or not self._open_to(host) or not self.make_room():
             exchange.done(Result.CONNECT_FAILED, None, b"")
             return
         dial, conn, made = pool.dial, Connection(self, pool), False
@@ -191,7 +214,8 @@
             async with asyncio.timeout(self.bounds.connect_timeout_ms / 1000.0):
                 await self.loop.create_connection(lambda: conn, *dial)
             # Guards the drain: the server may have left, or moved, while the connection came up.
-            made = self.pools.get(host) is pool and pool.up and pool.dial == dial and conn.usable()
+            same = self.pools.get(host) is pool and pool.dial == dial
+            made = same and self._open_to(host) and conn.usable()
         except (OSError, TimeoutError) as error:
             log.debug("no connection to %s: %s", host, error or "timed out")
         finally:
@@ -221,7 +245,7 @@
     # ------------------------------------------------------------- connections
 
     def release(self, conn: Connection) -> None:
-        if self.pools and conn.pool.up and conn.pool.dial == conn.dial:
+        if self._open_to(conn.pool.host) and conn.pool.up and conn.pool.dial == conn.dial:
             conn.idle_since = self.loop.time()
             conn.pool.idle.append(conn)
             if len(conn.pool.idle) > max(2, self.bounds.sockets // IDLE_PART):
@@ -291,6 +315,7 @@
         self._fresh()
         self.exchange, exchange.conn = exchange, self
         self.transport.write(exchange.message)
+        exchange.wrote()
         exchange.message = b""  # never sent again from here; Guards memory while the answer takes its time
 
     def close(self) -> None:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -142,15 +142,15 @@
                 writer.close()
 
 
-@contextlib.asynccontextmanager
-async def node(
+def config(
     servers: list[dict[str, Any]],
     discovery: FakeDiscovery | None = None,
     bounds: Bounds | None = None,
+    state: str | None = None,
+    inherited: int | None = None,
     **changes: Any,
-) -> AsyncIterator[Relay]:
-    """A node that knows these servers from its start."""
-    config = Config(
+) -> Config:
+    return Config(
         name="t",
         listen=("127.0.0.1", 0),
         discovery=("127.0.0.1", discovery.port if discovery else 1),
@@ -158,8 +158,17 @@
         settings=settings(ask_discovery=discovery is not None, **changes),
         bounds=bounds or Bounds(),
         known={"seq": 5, "whole": True, "hosts": servers},
+        inherited=inherited,
+        state=state,
     )
-    relay = Relay(config)
+
+
+@contextlib.asynccontextmanager
+async def node(
+    servers: list[dict[str, Any]], discovery: FakeDiscovery | None = None, **changes: Any
+) -> AsyncIterator[Relay]:
+    """A node that knows these servers from its start."""
+    relay = Relay(config(servers, discovery, **changes))
     if discovery is None:  # nothing listens there, and nothing is to be asked
         relay.discovery.watch = lambda: None  # type: ignore[method-assign]
     await relay.start()
@@ -169,13 +178,14 @@
         relay.discovery.close()
         relay.upstream.close()
         relay.server.close()
+        relay.state.close()
 
 
 class Client:
     """One connection of a client."""
 
-    def __init__(self, relay: Relay) -> None:
-        self.port = relay.server.port
+    def __init__(self, relay: Relay | None = None, port: int = 0) -> None:
+        self.port = relay.server.port if relay is not None else port
         self.sent = 0
 
     async def __aenter__(self) -> Client:
--- /dev/null
+++ b/tests/test_cordon.py
@@ -0,0 +1,135 @@
+"""Servers taken out by hand: in the module, on the sockets, and over an upgrade."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from helpers import Bed, kinds, sent, servers, settings
+from sockets import Client, FakeServer, entry, node, run, status
+
+from ironrelay import interface as api
+from ironrelay.net.config import Bounds
+from ironrelay.net.node import Dispatch, Node
+
+
+def picks(bed: Bed, count: int = 30) -> set[str]:
+    return {bed.serve() for _ in range(count)}
+
+
+def test_a_cordon_holds_whatever_the_list_says():
+    bed = Bed(3)
+    for _ in range(2):
+        bed.give(api.Cordon("s1", out=True))
+    assert picks(bed) == {"s0", "s2"}
+    bed.give(api.Membership(api.ListForm.DELTA, servers(3)))
+    bed.give(api.Membership(api.ListForm.DELTA, (api.Server("s1", state=api.ServerState.REMOVED),)))
+    bed.give(api.Membership(api.ListForm.FULL, servers(3, launched_ms=bed.now)))
+    bed.now += 20000.0  # warm, so that only the cordon keeps calls away
+    assert picks(bed) == {"s0", "s2"}
+    bed.give(api.Cordon("s1", out=False))
+    bed.give(api.Cordon("s1", out=False))
+    assert picks(bed) == {"s0", "s1", "s2"}
+
+
+def test_with_all_taken_out_a_call_is_refused_at_once():
+    bed = Bed(1)
+    bed.give(api.Cordon("s0", out=True))
+    assert kinds(bed.ask()[1]) == [api.Refuse]
+
+
+def test_an_attempt_that_is_out_there_goes_on():
+    bed = Bed(1)
+    name, acts = bed.ask()
+    server = sent(acts)[0].server
+    assert bed.give(api.Cordon(server, out=True)) == []
+    assert bed.end(name, server, api.Result.OK) == []
+
+
+def share_of(bed: Bed, server: str) -> float:
+    got = []
+    for _ in range(20):
+        got.append(bed.serve(latency=10.0))
+        bed.period()
+    return got.count(server) / len(got)
+
+
+def test_one_that_returns_is_cold_unless_the_list_knows_better():
+    """Guards a server that was restarted while out: the list tells so late, and by then it has tipped."""
+    bed = Bed(2)
+    share_of(bed, "s1")
+    bed.give(api.Cordon("s1", out=True))
+    bed.now += 3000.0
+    bed.give(api.Cordon("s1", out=False))
+    assert 0.0 < share_of(bed, "s1") < 0.3
+    bed.now += 10000.0  # as long as a cold one takes to be warm
+    assert share_of(bed, "s1") > 0.3
+
+
+def test_nothing_is_sent_to_one_that_is_out_even_if_the_module_errs():
+    box = Node(settings(), Bounds(), seed=1, now=0.0)
+    box.members(0.0, api.ListForm.FULL, (api.Server("s", zone="a"),))
+    assert not box.knows("nobody")
+    box.cordon(0.0, "s", out=True)
+    box.balancer.ready = list(box.balancer.peers.values())  # a module that forgets
+    effects = box.request(1.0, api.Request("r", "read", 2000.0))
+    assert not any(isinstance(effect, Dispatch) for effect in effects)
+    assert (box.can_serve, box.avoided) == (False, 1)
+    box.members(2.0, api.ListForm.DELTA, (api.Server("s", state=api.ServerState.REMOVED),))
+    assert box.knows("s"), "it can be called back also while the list does not name it"
+
+
+def test_no_connection_that_is_coming_up_is_used_after_the_yes():
+    """Guards the word given to operators: an attempt that waits for its connection has not begun."""
+
+    async def main() -> None:
+        async with FakeServer().up() as out, FakeServer().up() as other:
+            async with node([entry("out", out.port)]) as relay, Client(relay) as client:
+                connect = relay.loop.create_connection
+
+                async def slow(*args: object, **more: object) -> object:
+                    made = await connect(*args, **more)  # type: ignore[arg-type]
+                    assert await relay.cordon("out")
+                    return made
+
+                relay.upstream.loop = _Loop(relay.loop, slow)  # type: ignore[assignment]
+                client.send("post")
+                got = await client.answer()
+                assert status(got) == 503
+                assert out.got == []
+                assert await relay.cordon("out")
+                assert not await relay.cordon("nobody")
+                assert relay.figures()["pool_ejected"] == 1
+                relay.upstream.loop = relay.loop
+                assert await relay.uncordon("out")
+                assert status(await client.ask("post")) == 200
+                assert len(out.got) == 1
+                assert other.got == []
+
+    run(main())
+
+
+class _Loop:
+    """The loop, but for its way to make a connection."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, connect: object) -> None:
+        self._loop, self.create_connection = loop, connect
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._loop, name)
+
+
+def test_a_cordon_holds_over_an_upgrade(tmp_path: Path):
+    async def main() -> None:
+        async with FakeServer().up() as one, FakeServer().up() as two:
+            known = [entry("one", one.port), entry("two", two.port)]
+            async with node(known, state=str(tmp_path)) as old:
+                assert await old.cordon("one")
+                async with node(known, state=str(tmp_path)) as new, Client(new) as client:
+                    for _ in range(10):
+                        assert status(await client.ask()) == 200
+                    assert (len(one.got), len(two.got)) == (0, 10)
+                    assert await new.uncordon("one")
+                    assert old.node.cordoned == set()
+
+    run(main())
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -50,7 +50,7 @@
     assert of(node.tick(1000.0), Answer) == []  # the time-out is the module's to answer
     assert node.tick(1015.0) == [Answer("r", 500)]
     assert not node.open
-    assert node.idle
+    assert node.active == 0
 
 
 def test_a_request_never_sent_is_refused_after_its_deadline():
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -51,6 +51,11 @@
         (good(), {"LB_LISTEN": "nowhere"}),
         (good(), {"LB_LISTEN": "127.0.0.1:99999"}),
         (good(), {"LB_LISTEN": "192.0.2.1:80"}),  # no address of this machine
+        (good(listen="127.0.0.1:0"), {}),
+        (good(), {"LB_OPS": "nowhere"}),
+        (good(ops=7), {}),
+        (good(), {"LB_INHERITED_FD": "three"}),
+        (good(), {"LB_INHERITED_FD": "2"}),  # no socket
     ],
 )
 def test_a_bad_configuration_is_one_plain_line_and_exit_2(tmp_path: Path, row: Any, environ: dict[str, str]):
--- /dev/null
+++ b/tests/test_stats.py
@@ -0,0 +1,72 @@
+"""The figures: each ended request once, under its class, by how it ended."""
+
+from __future__ import annotations
+
+from helpers import settings
+from sockets import Client, FakeServer, entry, node, run, status, until
+from test_sockets import held_back
+
+from ironrelay import interface as api
+from ironrelay.net.config import Bounds
+from ironrelay.net.node import Node
+from ironrelay.net.stats import Ended, Figures
+
+
+def counts(figures: Figures) -> dict[str, tuple[int, int, int]]:
+    return {name: (one.ok, one.shed, one.errors) for name, one in figures.classes.items()}
+
+
+def test_only_classes_of_the_settings_are_counted():
+    """Guards memory: a client that makes classes up must not make counters."""
+    figures = Figures(["read"])
+    figures.ended("made-up", Ended.OK)
+    figures.ended(None, Ended.SHED)
+    figures.ended("read", Ended.SHED)
+    assert counts(figures) == {"read": (0, 1, 0)}
+
+
+def test_a_request_is_counted_once_however_often_its_end_is_told():
+    box = Node(settings(), Bounds(), seed=1, now=0.0)
+    box.members(0.0, api.ListForm.FULL, (api.Server("s", zone="a"),))
+    box.request(1.0, api.Request("r", "post", 2000.0))
+    assert box.active == 1
+    for _ in range(2):
+        box.ended(5.0, "r", 0, api.Result.RESET)
+    box.tick(5000.0)
+    assert counts(box.figures)["post"] == (0, 0, 1)
+    assert box.active == 0
+
+
+def test_who_has_left_is_not_counted():
+    box = Node(settings(), Bounds(), seed=1, now=0.0)
+    box.members(0.0, api.ListForm.FULL, (api.Server("s", zone="a"),))
+    box.request(1.0, api.Request("r", "post", 2000.0))
+    box.client_gone(2.0, "r")
+    box.ended(5.0, "r", 0, api.Result.OK)
+    assert counts(box.figures)["post"] == (0, 0, 0)
+    assert box.active == 0
+
+
+def test_the_figures_follow_what_happens_on_the_sockets():
+    """Guards operators against figures that drift from what clients saw and servers got."""
+
+    async def main() -> None:
+        free, slow = held_back()
+        async with FakeServer(slow).up() as server, node([entry("s", server.port)]) as relay:
+            async with Client(relay) as one, Client(relay) as two:
+                one.send("post")
+                await until(lambda: len(server.got) == 1)
+                now = relay.figures()
+                assert (now["active"], now["pool_size"], now["pool_ejected"]) == (1, 1, 0)
+                free.set()
+                assert status(await one.answer()) == 200
+                assert status(await two.ask("read")) == 200
+                relay.upstream.cordon("s", True)  # so that nothing can be sent, whatever is decided
+                assert status(await two.ask("post")) == 503
+            now = relay.figures()
+            assert now["responses"]["post"] == {"ok": 1, "shed": 1, "errors": 0}
+            assert now["responses"]["read"] == {"ok": 1, "shed": 0, "errors": 0}
+            assert now["responses"]["points"] == {"ok": 0, "shed": 0, "errors": 0}
+            assert (now["tries"], now["active"]) == (2, 0)
+
+    run(main())
