Large bodies and answers pass through in pieces, with every form of HTTP/1.1

The loss was 413 for bodies over 64 KiB, 400 for trailers, and long answers taken for spoilt: seen in the logs. A request that offers an upgrade no longer hides another one in its body.

--- a/ironrelay/choice.py
+++ b/ironrelay/choice.py
@@ -92,6 +92,7 @@
     peer: _Peer
     sent_ms: float
     result: api.Result | None = None  # None: still out
+    counted: bool = False  # among the calls in flight there
 
 
 @dataclass(slots=True)
@@ -188,9 +189,16 @@
             self._on_cordon(now, event)
         elif isinstance(event, api.Lapsed) and event.id in self.jobs:
             self._end(self.jobs[event.id], acts)
+        elif isinstance(event, api.Arrived) and event.id in self.jobs:
+            self._on_arrived(now, self.jobs[event.id], event)
         elif isinstance(event, api.Started) and event.id in self.jobs:
-            self.jobs[event.id].streaming = True
-            self._cancel_others(self.jobs[event.id], event.attempt, acts)
+            job = self.jobs[event.id]
+            job.streaming = True
+            if not job.kind.stream:
+                # Guard: a long answer is passed on at its client's pace, when its work is done; counted as in
+                # flight for so long, slow clients would have others refused.
+                self._count_off(job, event.attempt)
+            self._cancel_others(job, event.attempt, acts)
         elif isinstance(event, api.Probed):
             self._hear(now, event.server, event.report)
         return acts
@@ -335,22 +343,44 @@
     # -------------------------------------------------------------- attempts
 
     def _send(self, now: float, job: _Job, acts: list[api.Action]) -> bool:
-        left = job.request.give_up_at_ms - now
+        # The time of a request counts from its end; until that has come, it has all of it left.
+        then = now if job.request.whole else job.taken_ms
+        left = job.request.give_up_at_ms - then
         if job.kind.late_worth <= 0.0 and not job.kind.stream:
             # Guard: late work is worth nothing, so it is stopped at the aim and does not crowd out the rest.
-            left = min(left, job.taken_ms + job.kind.aim_ms * AIM_MARGIN - now)
+            left = min(left, job.taken_ms + job.kind.aim_ms * AIM_MARGIN - then)
         if job.done or not left > 1.0 or len(job.tries) >= self.cfg.max_attempts:
             return False
         peer = self._pick(now, job)
         if peer is None:
             return False
-        peer.out[(job.request.id, len(job.tries))] = now
         job.tries.append(_Try(peer, now))
-        peer.load += job.units
+        if job.request.whole:
+            self._count_in(job, len(job.tries) - 1, now)
         peer.credit -= job.units
         acts.append(api.Send(job.request.id, peer.info.address, left))
         return True
 
+    def _count_in(self, job: _Job, attempt: int, now: float) -> None:
+        item = job.tries[attempt]
+        item.sent_ms, item.counted = now, True
+        item.peer.out[(job.request.id, attempt)] = now
+        item.peer.load += job.units
+
+    def _count_off(self, job: _Job, attempt: int) -> None:
+        item = job.tries[attempt]
+        if item.counted:
+            item.counted = False
+            item.peer.load = max(0.0, item.peer.load - job.units)
+            item.peer.out.pop((job.request.id, attempt), None)
+
+    def _on_arrived(self, now: float, job: _Job, event: api.Arrived) -> None:
+        """A server begins a request at its end: until then an attempt is no work there and shows no delay."""
+        job.request.whole, job.request.give_up_at_ms, job.taken_ms = True, event.give_up_at_ms, now
+        for attempt, item in enumerate(job.tries):
+            if item.result is None:
+                self._count_in(job, attempt, now)
+
     def _on_outcome(self, now: float, event: api.Outcome, acts: list[api.Action]) -> None:
         self._hear(now, event.server, event.report)
         job = self.jobs.get(event.id)
@@ -358,8 +388,7 @@
             return
         item = job.tries[event.attempt]
         item.result = event.result
-        item.peer.load = max(0.0, item.peer.load - job.units)
-        item.peer.out.pop((event.id, event.attempt), None)
+        self._count_off(job, event.attempt)
         self._judge(now, job, item, event)
         if event.done:
             job.streaming = False
--- a/ironrelay/interface.py
+++ b/ironrelay/interface.py
@@ -168,11 +168,20 @@
     tenant: str | None = None
     cost_hint_ms: float | None = None
     is_retry: bool = False
+    whole: bool = True  # False: it may be sent, but its end is still to come, and with it its deadline
+
+
+@dataclass(slots=True)
+class Arrived:
+    """The end of a request that was not whole: its time counts from now."""
+
+    id: str
+    give_up_at_ms: float
 
 
 @dataclass(slots=True)
 class Started:
-    """A streamed answer has begun; the attempt now belongs to the client."""
+    """A streamed answer, or a long one, has begun; the attempt now belongs to the client."""
 
     id: str
     attempt: int
@@ -217,7 +226,7 @@
     out: bool
 
 
-Event = Membership | Moved | Cordon | Request | Started | Outcome | Lapsed | Alarm | Probed
+Event = Membership | Moved | Cordon | Request | Arrived | Started | Outcome | Lapsed | Alarm | Probed
 
 
 # ------------------------------------------------------------------- actions
--- a/ironrelay/net/config.py
+++ b/ironrelay/net/config.py
@@ -38,6 +38,7 @@
     second_copies: bool = True
     may_probe: bool = False
     sockets: int = 1024
+    memory_mb: float = 128.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -103,6 +104,7 @@
         "max_open": (int, allowed.get("maxOpen")),
         "second_copies": (bool, allowed.get("secondCopies")),
         "may_probe": (bool, allowed.get("mayProbe")),
+        "memory_mb": (float, limits.get("memory_mb")),
         "sockets": (int, min(limits.get("sockets") or 1024, resource.getrlimit(resource.RLIMIT_NOFILE)[0])),
     }
     known = row.get("known") or {"seq": 0, "hosts": []}
--- a/ironrelay/net/node.py
+++ b/ironrelay/net/node.py
@@ -16,6 +16,7 @@
 from ironrelay.interface import (
     Action,
     Alarm,
+    Arrived,
     Cancel,
     Cordon,
     Event,
@@ -34,6 +35,7 @@
     Server,
     ServerState,
     Settings,
+    Started,
     Wake,
     Watch,
 )
@@ -100,6 +102,8 @@
 class _Attempt:
     server: str
     sent_ms: float
+    timeout_ms: float = 0.0
+    began_ms: float | None = None  # when its answer began to be passed on
     result: Result | None = None  # None: still out
 
 
@@ -109,6 +113,9 @@
     give_up_ms: float
     attempts: list[_Attempt] = field(default_factory=list)
     over: bool = False  # answered, or the client has gone
+    whole: bool = True  # its last byte has come, and its deadline is known
+    spent: bool = False  # a part of it is no longer here, so it can't be sent again
+    begun: int | None = None  # the attempt whose answer is being passed on
 
     def out(self) -> bool:
         return any(item.result is None for item in self.attempts)
@@ -156,16 +163,49 @@
         if self._unanswered >= self.bounds.max_open:
             self.figures.ended(request.service, Ended.SHED)
             return [Answer(request.id, REFUSED)]  # the module never sees it, so it is never sent
-        self.open[request.id] = _Open(request.service, request.give_up_at_ms)
+        self.open[request.id] = _Open(request.service, request.give_up_at_ms, whole=request.whole)
         self._unanswered += 1
-        self._timer(request.give_up_at_ms + BACKSTOP_MS, "backstop", request.id)
+        if request.whole:
+            self._timer(request.give_up_at_ms + BACKSTOP_MS, "backstop", request.id)
         return self._run(now, request)
 
+    def arrived(self, now: float, id: str, give_up_at_ms: float) -> list[Effect]:
+        """The last byte of a request that was not whole: deadlines count from now."""
+        entry = self.open.get(id)
+        if entry is None or entry.over or entry.whole:
+            return []
+        entry.whole, entry.give_up_ms = True, give_up_at_ms
+        self._timer(give_up_at_ms + BACKSTOP_MS, "backstop", id)
+        for number, item in enumerate(entry.attempts):
+            if item.result is None:
+                item.sent_ms = now
+                self._timer(now + min(item.timeout_ms, give_up_at_ms - now), "attempt", id, number)
+        return self._run(now, Arrived(id, give_up_at_ms))
+
+    def spent(self, id: str) -> None:
+        """A part of this request is no longer held, so no other attempt of it can be written."""
+        entry = self.open.get(id)
+        if entry is not None:
+            entry.spent = True
+
+    def began(self, now: float, id: str, attempt: int) -> list[Effect] | None:
+        """An attempt's answer is too long to be held and is passed on from now; None where nobody wants it.
+        From here on no deadline ends it: its caller gets what the server gives."""
+        entry = self.open.get(id)
+        if entry is None or entry.over or entry.begun is not None:
+            return None
+        if attempt >= len(entry.attempts) or entry.attempts[attempt].result is not None:
+            return None
+        entry.begun, entry.attempts[attempt].began_ms = attempt, now
+        return self._run(now, Started(id, attempt))
+
     def client_gone(self, now: float, id: str) -> list[Effect]:
         entry = self.open.get(id)
         if entry is None or entry.over:
             return []
         self._finish(id, entry)
+        if entry.begun is not None and self._settle(now, id, entry.begun, Result.CANCELLED):
+            self._effects.append(Abort(id, entry.begun))  # the module leaves it to the client
         return self._run(now, Lapsed(id))
 
     def ended(
@@ -222,6 +262,9 @@
             if kind == "alarm":
                 effects += self._run(now, Alarm(name))
             elif kind == "attempt":
+                entry = self.open.get(name)
+                if entry is not None and entry.begun == attempt:
+                    continue
                 if self._settle(now, name, attempt, Result.TIMEOUT):
                     self._effects.append(Abort(name, attempt))
                 effects += self._run(now)
@@ -274,16 +317,18 @@
             log.error("a send for a request that is not open: %s", action.id)
             return
         number = len(entry.attempts)
-        left = entry.give_up_ms - now
+        left = entry.give_up_ms - now if entry.whole else action.timeout_ms or entry.give_up_ms - now
         may = not entry.over and left > 0 and number < self.settings.max_attempts
+        may = may and not entry.spent and entry.begun is None
         may = may and self._may_send(action.server)
         may = may and (self.bounds.second_copies or not entry.out())
-        entry.attempts.append(_Attempt(action.server, now))
+        timeout = min(left, action.timeout_ms) if action.timeout_ms else left
+        entry.attempts.append(_Attempt(action.server, now, timeout))
         if not may:
             self._settle(now, action.id, number, Result.MOOT)
             return
-        timeout = min(left, action.timeout_ms) if action.timeout_ms else left
-        self._timer(now + timeout, "attempt", action.id, number)
+        if entry.whole:
+            self._timer(now + timeout, "attempt", action.id, number)
         self._effects.append(Dispatch(action.id, number, action.server, timeout))
 
     def _settle(
@@ -303,7 +348,11 @@
         item.result = result
         if result is Result.OK and not entry.over:
             self._answer(id, Answer(id, SERVED, body))
-        self._queue.append(Outcome(id, attempt, item.server, result, now - item.sent_ms, entry.over, report))
+        elif entry.begun == attempt:
+            self._answer(id, Answer(id, BROKEN))  # what has been passed on can't be taken back
+        # What comes behind the first bytes of a long answer goes at its caller's pace, not at the server's.
+        latency = (now if item.began_ms is None else item.began_ms) - item.sent_ms
+        self._queue.append(Outcome(id, attempt, item.server, result, latency, entry.over, report))
         if entry.over and not entry.out():
             self.open.pop(id, None)
         return True
@@ -328,7 +377,7 @@
     def _overdue(self, now: float, id: str) -> list[Effect]:
         """Guards against a request that the module has left without an answer past its deadline."""
         entry = self.open.get(id)
-        if entry is None or entry.over:
+        if entry is None or entry.over or entry.begun is not None:
             return []
         log.error("no answer from the module by the deadline: %s", id)
         self._give_up(now, id, entry)
@@ -356,6 +405,8 @@
         entry = self.open.get(name)
         if kind == "alarm" or entry is None:
             return kind == "alarm"
+        if entry.begun is not None:
+            return False
         return not entry.over if kind == "backstop" else entry.attempts[attempt].result is None
 
     def _timer(self, due: float, kind: str, name: str, attempt: int = 0) -> None:
--- a/ironrelay/net/relay.py
+++ b/ironrelay/net/relay.py
@@ -5,27 +5,41 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import logging
 import math
 import re
 import time
+from collections.abc import Callable
 from typing import Any
 
 from ironrelay.interface import ListForm, Request, Result
 from ironrelay.net.admin import Admin
+from ironrelay.net.body import Budget
 from ironrelay.net.config import Config
 from ironrelay.net.discovery import Discovery, Entry, entries_from
 from ironrelay.net.listener import bind, open_listener
-from ironrelay.net.node import Abort, Answer, Dispatch, Effect, HeldAlreadyError, Node, StartProbe, StartWatch
+from ironrelay.net.node import (
+    SERVED,
+    Abort,
+    Answer,
+    Dispatch,
+    Effect,
+    HeldAlreadyError,
+    Node,
+    StartProbe,
+    StartWatch,
+)
 from ironrelay.net.server import BadRequestError, Call, Server
 from ironrelay.net.state import State
 from ironrelay.net.stats import Ended
-from ironrelay.net.upstream import Upstream
+from ironrelay.net.upstream import Sink, Upstream
 
 log = logging.getLogger("ironrelay.relay")
 
 SPARE = 40  # descriptors kept for everything but callers and servers, or a part of them where there are few
 SPARE_PART = 8
+BODIES_PART = 0.15  # of the memory, what the bodies of requests may hold together
 CALLERS = 0.85  # what callers may hold of the others; those that are idle make room for servers too
 # A stop takes at least the longest patience of a request, or 3 s, and some more. What comes during it has
 # until then, and is refused where that is too little to be worth the try.
@@ -53,9 +67,17 @@
         self.state = State(config.state, self._shared, self._company)
         self.node = Node(config.settings, config.bounds, config.seed, now_ms())
         self.upstream = Upstream(
-            config.bounds, self._make_room, self._ended, self._probed, self.node.figures.tried
+            config.bounds, self._make_room, self._ended, self._probed, self._began, self.node.figures.tried
+        )
+        self.budget = Budget(0)
+        self.server = Server(
+            self._make_room,
+            self._asked,
+            self._arrived,
+            self._gone,
+            lambda: self.node.can_serve,
+            self.budget,
         )
-        self.server = Server(self._make_room, self._asked, self._gone, lambda: self.node.can_serve)
         self.admin = Admin(self)
         self._told = asyncio.Event()  # discovery has said something
         since = config.known.get("seq")
@@ -113,6 +135,7 @@
 
     def _share(self, sockets: int) -> None:
         sockets //= self.processes
+        self.budget.most = int(self.config.bounds.memory_mb / self.processes * BODIES_PART) << 20
         self.most = max(8, sockets - min(SPARE, max(24, sockets // SPARE_PART)))
         self.server.most = max(6, int(self.most * CALLERS))
 
@@ -190,22 +213,45 @@
         if timeout is None or timeout <= 0:
             raise BadRequestError(400, "Request-Timeout-Ms is missing or not positive")
         self.longest_ms = max(self.longest_ms, min(timeout, LONGEST_MS))
-        if self.server.draining:
-            left = (self.server.drained_s - self.loop.time()) * 1000.0 + self.longest_ms + STOP_MS
-            if left < min(timeout, LEAST_MS):
-                self.node.figures.ended(service, Ended.SHED)
-                raise BadRequestError(503, "this node stops before the answer could be there")
-            timeout = min(timeout, left)
+        if self.server.draining and self._left_ms() < min(timeout, LEAST_MS):
+            self.node.figures.ended(service, Ended.SHED)
+            raise BadRequestError(503, "this node stops before the answer could be there")
+        call.patience_ms = timeout
         hint = _figure(call.header(b"work-hint"), "Work-Hint", DECIMAL)
         return Request(
             id=id,
             service=service,
-            give_up_at_ms=now_ms() + max(1.0, timeout - MARGIN_MS),
+            give_up_at_ms=now_ms() + self._wait_ms(timeout),
             tenant=call.header(b"tenant") or None,
             cost_hint_ms=None if hint is None else hint / 1000.0,
             is_retry=call.header(b"client-retry") == "1",
+            whole=call.body.complete,
         )
 
+    def _wait_ms(self, patience_ms: float) -> float:
+        """How long a caller of this patience waits from its request's last byte on, as seen from here."""
+        if self.server.draining:
+            patience_ms = min(patience_ms, self._left_ms())
+        return max(1.0, patience_ms - MARGIN_MS)
+
+    def _left_ms(self) -> float:
+        """How long this process still has for answers, once it has been told to stop."""
+        return (self.server.drained_s - self.loop.time()) * 1000.0 + self.longest_ms + STOP_MS
+
+    def _arrived(self, call: Call) -> None:
+        if self.calls.get(call.id) is call:
+            now = now_ms()
+            self._apply(self.node.arrived(now, call.id, now + self._wait_ms(call.patience_ms)))
+
+    def _began(self, id: str, attempt: int, length: int | None, eased: Callable[[], None]) -> Sink | None:
+        call = self.calls.get(id)
+        effects = self.node.began(now_ms(), id, attempt) if call is not None else None
+        if call is None or effects is None:
+            return None
+        call.caller.begin(call, length, eased)
+        self._apply(effects)
+        return functools.partial(call.caller.piece, call)
+
     def _gone(self, call: Call) -> None:
         if self.calls.get(call.id) is call:
             del self.calls[call.id]
@@ -214,6 +260,9 @@
     def _ended(
         self, id: str, attempt: int, result: Result, report: dict[str, float] | None, body: bytes
     ) -> None:
+        call = self.calls.get(id)
+        if call is not None and not call.body.resendable:
+            self.node.spent(id)
         self._apply(self.node.ended(now_ms(), id, attempt, result, report, body))
 
     def _probed(
@@ -259,14 +308,20 @@
                 if call is None:  # the caller left before anything was sent
                     self.loop.call_soon(self._ended, effect.id, effect.attempt, Result.CANCELLED, None, b"")
                     return
-                message = call.message(effect.timeout_ms)
-                self.upstream.start(effect.id, effect.attempt, effect.server, message)
+                head, chunked = call.head(effect.timeout_ms)
+                self.upstream.start(effect.id, effect.attempt, effect.server, head, call.body, chunked)
             case Abort():
                 self.upstream.abort(effect.id, effect.attempt)
             case Answer():
                 call = self.calls.pop(effect.id, None)
-                if call is not None:
+                if call is None:
+                    return
+                if not call.begun:
                     call.caller.answer(call, effect.status, effect.body, effect.retry_after_ms)
+                elif effect.status == SERVED:
+                    call.caller.finish(call)
+                else:
+                    call.caller.cut(call)
             case StartWatch():
                 self.discovery.watch()
             case StartProbe():
--- a/ironrelay/net/server.py
+++ b/ironrelay/net/server.py
@@ -5,23 +5,29 @@
 import asyncio
 import logging
 import socket
+import struct
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import cast
+from urllib.parse import urlsplit
 
 import httptools
 
+from ironrelay.net.body import Body, Budget
 from ironrelay.net.listener import BACKLOG
 
 log = logging.getLogger("ironrelay.server")
 
-BODY_BYTES = 64 * 1024
+BODY_BYTES = 32 << 20
 HEAD_BYTES = 16 * 1024
-MESSAGE_BYTES = 4 * BODY_BYTES  # and what a request may take on the wire, in small chunks
+EXTRA_BYTES = 256 * 1024  # what a body may take on the wire beyond its size: sizes of chunks, trailers,
+EXTRA_TIMES = 16  # and this many times its size, in tiny chunks
+WINDOW_BYTES = 64 * 1024  # of a body that passes through, and of an answer, what waits for who is slow
 WAITING = 8  # requests that one connection may send ahead of the answers
 WAITING_BYTES = 16 * 1024  # past this much of them the connection is not read until they are asked
-PARTIAL_S = 2.0  # how long a request may take to arrive, and a new connection may say nothing
+PARTIAL_S = 2.6  # how long a head may take to arrive, a body may pause, and a new connection may say nothing
+TAKE_S = 30.0  # how long a caller may take nothing at all of its answer
 KEPT_S = 5.0  # how long a connection that asks nothing more is kept
 SWEEP_S = 0.25
 IDLE_S = 0.2  # a connection that was used this lately is not closed to make room,
@@ -40,6 +46,7 @@
     408: "Request Timeout",
     409: "Conflict",
     413: "Content Too Large",
+    417: "Expectation Failed",
     431: "Request Header Fields Too Large",
     500: "Internal Server Error",
     502: "Bad Gateway",
@@ -84,14 +91,18 @@
 
 @dataclass(slots=True, eq=False)
 class Call:
-    """A caller's whole request."""
+    """A caller's request. Its body may still be on its way."""
 
     caller: Caller
     method: bytes
     target: bytes
     headers: list[tuple[bytes, bytes]]
-    body: bytes
+    body: Body
+    length: int | None = None  # of the body, where the head tells
     id: str = ""
+    asked: bool = False  # the relay has been asked
+    patience_ms: float = 0.0  # how long its caller waits from its last byte on
+    begun: bool = False  # a long answer is being passed on
 
     def header(self, name: bytes) -> str | None:
         for key, value in self.headers:
@@ -99,29 +110,53 @@
                 return value.decode("latin-1").strip()
         return None
 
-    def message(self, timeout_ms: float) -> bytes:
-        """The request as it goes on to a server."""
-        parts = [b"%b %b HTTP/1.1\r\n" % (self.method, self.target)]
-        if self.header(b"host") is None:
-            parts.append(b"Host:\r\n")
-        parts += [b"%b: %b\r\n" % pair for pair in self.headers if pair[0] not in OWN_HEADERS]
+    def head(self, timeout_ms: float) -> tuple[bytes, bool]:
+        """The request's head as it goes on to a server, and whether its body goes in chunks."""
+        target, authority = origin_form(self.target)
+        parts = [b"%b %b HTTP/1.1\r\n" % (self.method, target)]
+        own = OWN_HEADERS
+        if authority is not None or self.header(b"host") is None:
+            parts.append(b"Host: %b\r\n" % (authority or b""))
+            own = OWN_HEADERS | {b"host"}
+        # What the caller names in Connection is of that connection only.
+        named = {
+            item.strip().lower() for item in (self.header(b"connection") or "").encode("latin-1").split(b",")
+        }
+        own = own | (named - SINGLE_HEADERS)
+        parts += [b"%b: %b\r\n" % pair for pair in self.headers if pair[0] not in own]
         parts.append(b"Request-Timeout-Ms: %d\r\n" % max(1, int(timeout_ms)))
-        if self.body or self.method != b"GET":
-            parts.append(b"Content-Length: %d\r\n" % len(self.body))
-        return b"".join((*parts, b"\r\n", self.body))
+        length = self.body.size if self.body.complete else self.length
+        if length is None:
+            parts.append(b"Transfer-Encoding: chunked\r\n")
+        elif length or self.method != b"GET":
+            parts.append(b"Content-Length: %d\r\n" % length)
+        return b"".join((*parts, b"\r\n")), length is None
+
+
+def origin_form(target: bytes) -> tuple[bytes, bytes | None]:
+    """A target as a server wants it, and the authority where the target named one: a proxy takes either."""
+    if target[:7].lower() != b"http://":
+        return target, None
+    parts = urlsplit(target.decode("latin-1"))
+    path = (parts.path or "/") + (f"?{parts.query}" if "?" in target.decode("latin-1") else "")
+    return path.encode("latin-1"), parts.netloc.rpartition("@")[2].encode("latin-1")
 
 
 class Server:
-    """Takes calls for `asked`, which answers each through its caller; `gone` hears of callers that left."""
+    """Takes calls for `asked`, which answers each through its caller; `arrived` hears of the end of those
+    that were asked before it had come, `gone` of callers that left."""
 
     def __init__(
         self,
         make_room: Callable[[], bool],
         asked: Callable[[Call], None],
+        arrived: Callable[[Call], None],
         gone: Callable[[Call], None],
         healthy: Callable[[], bool],
+        budget: Budget,
     ) -> None:
-        self.make_room, self.asked, self.gone, self.healthy = make_room, asked, gone, healthy
+        self.make_room, self.asked, self.arrived = make_room, asked, arrived
+        self.gone, self.healthy, self.budget = gone, healthy, budget
         self.callers: dict[Caller, None] = {}  # in order of their arrival
         self.quiet: dict[Caller, None] = {}  # those on which nothing is asked, the longest so first
         self.most = 1 << 20  # callers that may be connected at a time
@@ -225,11 +260,19 @@
         self.parser = httptools.HttpRequestParser(self)
         self.waiting: deque[Call] = deque()
         self.current: Call | None = None
+        self.incoming: Call | None = None  # whose body is on its way
+        self.expecting = False  # it waits for a word before it sends its body
+        self.ending = False  # the connection closes once the rest of a request has come
+        self.chunked = False  # the answer that is being passed on goes in chunks
+        self.eased: Callable[[], None] | None = None  # where the rest of that answer waits
+        self.taken = (0, 0.0)  # what was not taken of it yet, and since when
         self.partial = self.headed = self.bad = self.surplus = False
         self.asked = False  # it has sent a whole request
         self.choked = self.paused = False
         self.raw = 0  # bytes of the head, or since the head, of the request that is coming
         self.ahead = 0  # bytes of the requests that wait
+        self.offer = b""  # the framing of a request that offers another protocol
+        self.old = False  # it speaks HTTP/1.0
         self.last = False  # the caller wants the connection closed after this answer
         self.since = server.loop.time()  # of the last change between idle, partial and busy
         self._fresh()
@@ -237,7 +280,6 @@
     def _fresh(self) -> None:
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
-        self.body = bytearray()
         self.headed = False
 
     # ------------------------------------------------------------- connection
@@ -245,6 +287,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # A cast: the transports of uvloop are none of asyncio's classes.
         self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=WINDOW_BYTES)
         self.server.joined(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -256,10 +299,16 @@
 
     def _forget(self) -> None:
         """The requests of this connection are over, whatever has become of them."""
+        for waiting in self.waiting:
+            waiting.body.release()
         self.waiting.clear()
+        if self.incoming is not None:
+            self.incoming.body.release()
+            self.incoming = None
         call, self.current = self.current, None
         if call is not None:
             self.server.gone(call)
+            call.body.release()
 
     def pause_writing(self) -> None:
         self.choked = True
@@ -267,11 +316,18 @@
 
     def resume_writing(self) -> None:
         self.choked = False
+        if self.eased is not None:
+            self.eased()
         self._throttle()
 
     def _throttle(self) -> None:
-        """Guards memory against a caller that sends ahead of its answers, or sends and does not read."""
+        """Guards memory against a caller that sends ahead of its answers, or sends and does not read, or
+        sends a long body faster than a server takes it."""
         pause = self.choked or len(self.waiting) >= WAITING or self.ahead > WAITING_BYTES
+        if self.incoming is not None and self.incoming.body.streamed:
+            pause = self.choked or self.incoming.body.held > WINDOW_BYTES
+            if self.paused and not pause:
+                self.since = self.server.loop.time()  # what did not come meanwhile was not to come
         if self.transport is not None and pause is not self.paused:
             self.paused = pause
             if pause:
@@ -280,7 +336,7 @@
                 self.transport.resume_reading()
 
     def _is_idle(self) -> bool:
-        return self.current is None and not self.waiting and not self.partial
+        return self.current is None and not self.waiting and not self.partial and self.incoming is None
 
     def close_if_idle(self, for_s: float) -> bool:
         if self.transport is None or self.transport.is_closing() or not self._is_idle():
@@ -300,24 +356,40 @@
         if self.bad:
             if for_s >= PARTIAL_S:  # it does not even take its answer
                 self.abort()
+        elif self.current is not None and self.current.begun:
+            self._close_if_untaken(now)
+        elif self.incoming is not None and self.headed:
+            if for_s >= PARTIAL_S and not self.paused:  # a body may take its time, but not stop
+                self._reject(BadRequestError(408, "the body did not arrive in time"))
         elif self.current is None and for_s >= PARTIAL_S:
             if self.partial:
                 self._reject(BadRequestError(408, "the request did not arrive in time"))
             elif not self.asked or self.surplus or for_s >= KEPT_S:
                 self.close_if_idle(PARTIAL_S)
 
+    def _close_if_untaken(self, now: float) -> None:
+        """Guards an equipo's connection against a caller that reads nothing of its answer any more."""
+        left = self.transport.get_write_buffer_size() if self.transport is not None else 0
+        before, since = self.taken
+        if not left or left != before:
+            self.taken = (left, now)
+        elif now - since >= TAKE_S:
+            self.abort()
+
     # ---------------------------------------------------------------- parsing
 
     def data_received(self, data: bytes) -> None:
         if self.bad:
             return
         self.raw += len(data)
+        if self.incoming is not None and self.headed:
+            self.since = self.server.loop.time()
         try:
-            self.parser.feed_data(data)
-            if self.partial and self.raw > (MESSAGE_BYTES if self.headed else HEAD_BYTES):
-                raise BadRequestError(413 if self.headed else 431, "a request without end")
-        except httptools.HttpParserUpgrade:
-            self._reject(BadRequestError(400, "no upgrades here"))
+            self._parse(data)
+            if self.partial:
+                size = self.incoming.body.size if self.incoming is not None else 0
+                if self.raw > (EXTRA_BYTES + EXTRA_TIMES * size if self.headed else HEAD_BYTES):
+                    raise BadRequestError(413 if self.headed else 431, "a request without end")
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
             if not isinstance(cause, BadRequestError):
@@ -331,7 +403,22 @@
         else:
             self._next()
 
+    def _parse(self, data: bytes) -> None:
+        while data:
+            try:
+                self.parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                # An offer to speak something else, which is not taken up. The parser stops behind the head of
+                # such a request and takes its body for the other protocol. Guards against a request hidden
+                # there: another parser is told of the body's framing, and reads on.
+                self.parser = httptools.HttpRequestParser(self)
+                self.parser.feed_data(self.offer)
+                data = data[upgrade.args[0] :]
+
     def on_message_begin(self) -> None:
+        if self.offer:
+            return
         self.partial = True
         if self.current is None and not self.waiting:
             self.server.quiet.pop(self, None)
@@ -339,89 +426,208 @@
         self._fresh()
 
     def on_url(self, url: bytes) -> None:
-        self.target += url
+        if not self.offer:
+            self.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.headed:
-            raise BadRequestError(400, "no trailers here")
+            return  # a trailer, or the framing once more: what the head has said stands
         self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Guards against a second request hidden in the first: where the parser or a server behind it could
         see another end of it, it is not taken. A body that is too long is refused before it comes."""
+        if self.offer:
+            self.offer = b""
+            return
         self.headed, self.raw = True, 0
         names = [name for name, _ in self.headers if name in SINGLE_HEADERS]
         if len(set(names)) != len(names):
             raise BadRequestError(400, "a header stands twice")
         if len(self.target) + sum(len(name) + len(value) for name, value in self.headers) > HEAD_BYTES:
             raise BadRequestError(431, "headers too large")
+        self.old = self.parser.get_http_version() == "1.0"
         if self.parser.get_http_version() not in ("1.1", "1.0"):
             raise BadRequestError(400, "not HTTP/1.1")
+        method = self.parser.get_method()
+        if method == b"CONNECT":
+            raise BadRequestError(405, "GET and POST only")
+        length: int | None = 0
         for name, value in self.headers:
-            if name == b"content-length" and int(value) > BODY_BYTES:
-                raise BadRequestError(413, f"bodies hold at most {BODY_BYTES} bytes")
+            if name == b"content-length":
+                length = int(value)
+                if length > BODY_BYTES:
+                    raise BadRequestError(413, f"bodies hold at most {BODY_BYTES} bytes")
+            if name == b"transfer-encoding":
+                length = None
+            if name == b"expect":
+                if value.strip().lower() != b"100-continue":
+                    raise BadRequestError(417, "an expectation that is not known")
+                self.expecting = True
             if name == b"transfer-encoding" and (
                 value.strip().lower() != b"chunked" or self.parser.get_http_version() != "1.1"
             ):
                 raise BadRequestError(400, "Transfer-Encoding is not just chunked")
+        self.expecting = self.expecting and length != 0 and self.parser.get_http_version() == "1.1"
+        body = Body(self.server.budget, self._throttle)
+        self.incoming = Call(self, method, self.target, self.headers, body, length)
+        if self.parser.should_upgrade():
+            close = b"" if self.parser.should_keep_alive() else b"Connection: close\r\n"
+            framing = b"Transfer-Encoding: chunked" if length is None else b"Content-Length: %d" % length
+            self.offer = b"POST / HTTP/1.1\r\n%b%b\r\n\r\n" % (close, framing)
 
     def on_body(self, data: bytes) -> None:
-        self.body += data
-        if len(self.body) > BODY_BYTES:
+        call = self.incoming
+        if call is None:
+            return
+        self.expecting = False
+        call.body.add(data)
+        if call.body.size > BODY_BYTES:
             raise BadRequestError(413, f"bodies hold at most {BODY_BYTES} bytes")
 
     def on_message_complete(self) -> None:
-        self.partial, self.asked, self.raw = False, True, 0
-        if len(self.waiting) >= WAITING:
-            raise BadRequestError(400, "too many requests ahead of their answers")
-        method = self.parser.get_method()
-        self.ahead += len(self.body)
-        self.waiting.append(Call(self, method, self.target, self.headers, bytes(self.body)))
-        self.body = bytearray()  # the call has its own; Guards memory while many wait
+        if self.offer:
+            return  # so the parser says behind the head
+        self.partial, self.asked, self.raw, self.expecting = False, True, 0, False
+        call, self.incoming = self.incoming, None
+        if call is None:
+            return
         if not self.parser.should_keep_alive():
             self.last = True
+        call.body.end()
+        if call.asked:  # while it was on its way
+            if self.current is call:
+                self.since = self.server.loop.time()
+                self.server.arrived(call)
+            return
+        if len(self.waiting) >= WAITING:
+            call.body.release()
+            raise BadRequestError(400, "too many requests ahead of their answers")
+        self.ahead += call.body.size
+        self.waiting.append(call)
 
     # ---------------------------------------------------------------- answers
 
     def _next(self) -> None:
         while self.current is None and self.waiting and self.transport is not None:
             call = self.waiting.popleft()
-            self.ahead -= len(call.body)
-            if call.target.partition(b"?")[0] == b"/_health":
-                # At a handover the node as such goes on, whichever of its processes is asked.
-                healthy = self.server.healthy() and (self.server.handover or not self.server.draining)
-                self._write(200 if healthy else 503, b"")
-                continue
-            if self.surplus:
-                self._write(503, b"")  # the module never sees it, so it is never sent
-                continue
-            self.current = call
-            self.since = self.server.loop.time()
-            try:
-                self.server.asked(call)
-            except BadRequestError as error:
-                # What is asked next may be as bad, and at full speed; that costs it a new connection.
-                self.current = None
-                self._reject(error)
-            except Exception:
-                log.exception("a request failed")
-                self.answer(call, 500, b"")
+            self.ahead -= call.body.size
+            self._ask(call)
+        if self.current is None and not self.waiting and self.transport is not None:
+            incoming = self.incoming
+            if incoming is not None and incoming.body.streamed and not incoming.asked:
+                self._ask(incoming)  # it is too long to be held; its end follows
+            elif self.expecting:
+                self.expecting = False
+                self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if self.transport is not None:
+            if self.ending and self.incoming is None:
+                self.transport.close()
             if self._is_idle():
                 self.server.quiet[self] = None
             self._throttle()
 
+    def _ask(self, call: Call) -> None:
+        call.asked = True
+        if origin_form(call.target)[0].partition(b"?")[0] == b"/_health":
+            # At a handover the node as such goes on, whichever of its processes is asked.
+            healthy = self.server.healthy() and (self.server.handover or not self.server.draining)
+            self._write(200 if healthy else 503, b"")
+            call.body.release()
+            return
+        if self.surplus:
+            self._write(503, b"")  # the module never sees it, so it is never sent
+            call.body.release()
+            return
+        self.current = call
+        self.since = self.server.loop.time()
+        try:
+            self.server.asked(call)
+        except BadRequestError as error:
+            # What is asked next may be as bad, and at full speed; that costs it a new connection.
+            self.current = None
+            call.body.release()
+            self._reject(error)
+        except Exception:
+            log.exception("a request failed")
+            self.answer(call, 500, b"")
+
     def answer(self, call: Call, status: int, body: bytes, retry_after_ms: float = 0.0) -> None:
         if self.current is not call:
             return
         self.current = None
         self.since = self.server.loop.time()
+        call.body.release()
         self._write(status, body, retry_after_ms)
-        if self.waiting:
+        self._follow()
+
+    def _follow(self) -> None:
+        """An answer is out; go on with what came behind its request."""
+        if self.waiting or self.incoming is not None:
             self.server.loop.call_soon(self._next)
         elif not self.partial:
             self.server.quiet[self] = None
 
+    def begin(self, call: Call, length: int | None, eased: Callable[[], None]) -> None:
+        """The head of a long answer; its pieces follow. `eased` is called when there is room for more."""
+        if self.current is not call or self.transport is None:
+            return
+        call.begun, self.eased = True, eased
+        self.taken = (0, self.server.loop.time())
+        lines = ["HTTP/1.1 200 OK"]
+        self.chunked = False
+        if length is not None:
+            lines.append(f"Content-Length: {length}")
+        elif not self.old:
+            self.chunked = True
+            lines.append("Transfer-Encoding: chunked")
+        else:
+            self.last = True  # to such a caller only the end of the connection tells the answer's
+        if (self.last or self.server.closing or self.surplus) and not self.waiting:
+            self.last = True
+            lines.append("Connection: close")
+        self.transport.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+
+    def piece(self, call: Call, data: bytes) -> bool:
+        """A piece of it; False where no more should come before `eased` is called."""
+        if self.current is not call or self.transport is None or self.transport.is_closing():
+            return True
+        self.transport.write(b"%x\r\n%b\r\n" % (len(data), data) if self.chunked else data)
+        return not self.choked
+
+    def finish(self, call: Call) -> None:
+        """The end of it."""
+        if self.current is not call or self.transport is None:
+            return
+        self.current, self.eased = None, None
+        self.since = self.server.loop.time()
+        call.body.release()
+        if self.chunked:
+            self.transport.write(b"0\r\n\r\n")
+        if self.last and not self.waiting:
+            self._end()
+        else:
+            self._follow()
+
+    def cut(self, call: Call) -> None:
+        """The rest of it will never come. The connection ends with a reset, so that also a caller that was
+        promised no length can tell."""
+        if self.current is not call or self.transport is None:
+            return
+        self.current, self.eased = None, None
+        call.body.release()
+        sock = self.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.transport.abort()
+
+    def _end(self) -> None:
+        """Close behind an answer, but not before the rest of its request: closing on that would reset the
+        connection, and the answer might be lost with it."""
+        if self.incoming is not None:
+            self.ending = True
+        elif self.transport is not None:
+            self.transport.close()
+
     def _write(self, status: int, body: bytes, retry_after_ms: float = 0.0) -> None:
         if self.transport is None or self.transport.is_closing():
             return
@@ -433,7 +639,7 @@
             head += "Connection: close\r\n"
         self.transport.write(head.encode() + b"\r\n" + body)
         if close:
-            self.transport.close()
+            self._end()
 
     def _reject(self, error: BadRequestError) -> None:
         """What came is no request, and nothing after it on this connection is looked at, whatever waits here
@@ -442,12 +648,15 @@
         self.since = self.server.loop.time()
         self.server.rejected += 1
         self.server.why = f"{error.status}: {error}"
+        begun = self.current is not None and self.current.begun
         self._forget()
         self.ahead = 0
-        self.body = bytearray()
         transport = self.transport
         if transport is None or transport.is_closing():
             return
+        if begun:  # in the middle of an answer there is no place for another one
+            transport.abort()
+            return
         text = str(error).encode() + b"\n"
         head = f"HTTP/1.1 {error.status} {REASONS[error.status]}\r\nContent-Length: {len(text)}\r\n"
         transport.write(head.encode() + b"Connection: close\r\n\r\n" + text)
--- a/ironrelay/net/upstream.py
+++ b/ironrelay/net/upstream.py
@@ -6,6 +6,7 @@
 import logging
 import re
 import select
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import cast
@@ -13,14 +14,18 @@
 import httptools
 
 from ironrelay.interface import Result, Server, ServerState
+from ironrelay.net.body import Body
 from ironrelay.net.config import Address, Bounds
 from ironrelay.settings import REPORTS
 
 log = logging.getLogger("ironrelay.upstream")
 
-BODY_BYTES = 1 << 20  # bodies hold 64 KiB; Guards memory against a server that sends without end
+BODY_BYTES = 32 << 20  # the longest answer; Guards callers against a server that sends without end
+BEGIN_BYTES = 64 * 1024  # a longer answer is passed on as it comes
+READ_BYTES = 64 * 1024  # what the system may hold of an answer that is not read; as much comes at a time
 HEAD_BYTES = 16 * 1024  # of an answer, those of the interim ones before it included
-PARTIAL_S = 0.4  # an answer that has begun comes whole within this, or what is there is no good
+PARTIAL_S = 0.8  # an answer that has begun and pauses for so long is no good
+STALL_S = 15.0  # the same of one that is being passed on: cutting it off is the last resort
 FIGURE = re.compile(r"[0-9]{1,6}(\.[0-9]{1,9})?")  # a load is no more than that
 SETTLE_S = 0.002  # what belongs to no answer comes right behind one: until then its connection rests
 IDLE_PART = 4  # one server's idle connections hold no more than this part of the descriptors
@@ -30,6 +35,9 @@
 
 Report = dict[str, float]
 Ended = Callable[[str, int, Result, Report | None, bytes], None]
+Sink = Callable[[bytes], bool]  # takes a piece of an answer; False: no more until it is eased
+# A long answer begins, of this length where it is known. Returns its sink, or None where nobody wants it.
+Began = Callable[[str, int, int | None, Callable[[], None]], Sink | None]
 Probed = Callable[[str, Result, float, Report | None], None]
 
 
@@ -51,10 +59,15 @@
 class _Exchange:
     """One attempt or probe on its way."""
 
-    message: bytes
+    head: bytes
     done: Callable[[Result, Report | None, bytes], None]
     began_s: float = 0.0
     wrote: Callable[[], None] = lambda: None  # its last byte went out
+    begin: Callable[[int | None, Callable[[], None]], Sink | None] | None = None
+    body: Body | None = None
+    chunked: bool = False
+    at: int = 0  # the number of the body's next piece
+    sent: bool = False  # written whole: from here on it may run
     conn: Connection | None = None
     task: asyncio.Task[None] | None = None
 
@@ -78,9 +91,11 @@
         make_room: Callable[[], bool],
         ended: Ended,
         probed: Probed,
-        tried: Callable[[], None] = lambda: None,
+        began: Began,
+        tried: Callable[[], None],
     ) -> None:
         self.bounds, self.make_room, self.ended, self.probed = bounds, make_room, ended, probed
+        self.began = began
         self.tried = tried  # an attempt was written whole
         self.pools: dict[str, _Pool] = {}
         self.cordoned: set[str] = set()  # hosts to which nothing new goes out, whatever their pools say
@@ -134,12 +149,18 @@
 
     # ---------------------------------------------------------------- attempts
 
-    def start(self, id: str, attempt: int, host: str, message: bytes) -> None:
+    def start(
+        self, id: str, attempt: int, host: str, head: bytes, body: Body | None = None, chunked: bool = False
+    ) -> None:
         def done(result: Result, report: Report | None, body: bytes) -> None:
             del self.live[id, attempt]
             self.ended(id, attempt, result, report, body)
 
-        exchange = self.live[id, attempt] = _Exchange(message, done, self.loop.time(), self.tried)
+        def begin(length: int | None, eased: Callable[[], None]) -> Sink | None:
+            return self.began(id, attempt, length, eased)
+
+        exchange = _Exchange(head, done, self.loop.time(), self.tried, begin, body, chunked)
+        self.live[id, attempt] = exchange
         self._begin(host, exchange)
 
     def abort(self, id: str, attempt: int) -> None:
@@ -151,7 +172,7 @@
             exchange.task.cancel()
         conn = exchange.conn
         if conn is not None:
-            conn.exchange = None
+            conn.forget()
             conn.close()
             # Not `<`: the loop's clock has whole milliseconds, and the two may fall into one.
             if conn.pool.heard_s <= exchange.began_s <= self.loop.time() - SILENT_S:
@@ -182,7 +203,7 @@
             if exchange.task is not None:
                 exchange.task.cancel()
             if exchange.conn is not None:
-                exchange.conn.exchange = None
+                exchange.conn.forget()
                 exchange.conn.close()
             done(Result.TIMEOUT, None, b"")
 
@@ -281,8 +302,8 @@
         self.parser = httptools.HttpResponseParser(self)
         self.transport: asyncio.Transport | None = None
         self.exchange: _Exchange | None = None
-        self.idle_since = 0.0
-        self.counted = False
+        self.idle_since = self.heard_s = 0.0
+        self.counted = self.choked = self.paused = False
         self.overdue: asyncio.TimerHandle | None = None
         self._fresh()
 
@@ -292,12 +313,18 @@
 
     def _next_head(self) -> None:
         self.body = bytearray()
+        self.size = 0
+        self.length: int | None = None
+        self.sink: Sink | None = None
         self.report: Report | None = None
         self.not_started = self.framed = self.complete = self.headed = self.keep_alive = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # A cast: the transports of uvloop are none of asyncio's classes.
         self.transport = cast(asyncio.Transport, transport)
+        # Guards memory, the system's and that of the pieces, while an answer waits for a slow caller.
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, READ_BYTES)
         self.counted = True
         self.owner.opened += 1
 
@@ -314,9 +341,46 @@
         assert self.transport is not None
         self._fresh()
         self.exchange, exchange.conn = exchange, self
-        self.transport.write(exchange.message)
-        exchange.wrote()
-        exchange.message = b""  # never sent again from here; Guards memory while the answer takes its time
+        self.transport.write(exchange.head)
+        exchange.head = b""  # never sent again from here; Guards memory while the answer takes its time
+        self._feed()
+
+    def _feed(self) -> None:
+        """Write what there is of the request's body, as far as the server takes it."""
+        exchange = self.exchange
+        while exchange is not None and not exchange.sent and not self.choked and self.transport is not None:
+            body = exchange.body
+            piece = body.piece(exchange.at) if body is not None else None
+            if body is not None and piece is not None:
+                exchange.at += 1
+                if exchange.chunked:
+                    self.transport.write(b"%x\r\n%b\r\n" % (len(piece), piece))
+                else:
+                    self.transport.write(piece)
+            elif body is None or body.complete:
+                if exchange.chunked:
+                    self.transport.write(b"0\r\n\r\n")
+                exchange.sent = True
+                exchange.wrote()
+                if body is not None:
+                    body.reader = None
+            else:
+                body.reader = self._feed
+                return
+
+    def pause_writing(self) -> None:
+        self.choked = True
+
+    def resume_writing(self) -> None:
+        self.choked = False
+        self._feed()
+
+    def forget(self) -> None:
+        """What this connection carries is over, as far as it goes."""
+        exchange, self.exchange = self.exchange, None
+        self.sink = None
+        if exchange is not None and exchange.body is not None and exchange.body.reader == self._feed:
+            exchange.body.reader = None
 
     def close(self) -> None:
         if self.transport is not None:
@@ -324,8 +388,21 @@
 
     # ------------------------------------------------------------ what arrives
 
+    def _hold(self) -> None:
+        """Backpressure: the caller takes the answer more slowly than the server gives it."""
+        if not self.paused and self.transport is not None and not self.transport.is_closing():
+            self.paused = True
+            self.transport.pause_reading()
+
+    def _resume(self) -> None:
+        if self.paused:
+            self.paused = False
+            self.heard_s = self.owner.loop.time()
+            if self.transport is not None and not self.transport.is_closing():
+                self.transport.resume_reading()
+
     def data_received(self, data: bytes) -> None:
-        self.pool.heard_s = self.owner.loop.time()
+        self.heard_s = self.pool.heard_s = self.owner.loop.time()
         if self.exchange is None:  # Guards the next attempt against bytes that nobody asked for
             self._leave_pool()
             return
@@ -359,14 +436,19 @@
         self.overdue = None
         if self.exchange is None:
             return
-        if self.usable():
+        left = self.heard_s + (PARTIAL_S if self.sink is None else STALL_S) - self.owner.loop.time()
+        if self.paused:
+            left = STALL_S
+        if left > 0.01:
+            self.overdue = self.owner.loop.call_later(left, self._overdue)
+        elif self.usable():
             self._spoilt("an answer that does not end")
         else:  # there is more to read, so it is this node that is late
             self.overdue = self.owner.loop.call_later(PARTIAL_S / 4, self._overdue)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.headed:
-            raise SpoiltError("a header behind the head")
+            return  # a trailer, which says nothing that is of use here
         name = name.lower()
         if name == b"server-load":
             self.report = report_from(value.decode("latin-1")) or self.report
@@ -374,7 +456,8 @@
             self.not_started = value.strip() == b"1"
         elif name == b"content-length":
             self.framed = True
-            if int(value) > BODY_BYTES:
+            self.length = int(value)
+            if self.length > BODY_BYTES:
                 raise SpoiltError("an answer too long")
         elif name == b"transfer-encoding":
             self.framed = True
@@ -383,12 +466,36 @@
 
     def on_headers_complete(self) -> None:
         # An interim answer is no answer yet: what follows counts as one head with it.
-        self.headed = self.parser.get_status_code() >= 200
+        status = self.parser.get_status_code()
+        self.headed = status >= 200
+        if status == 200 and self.length is not None and self.length > BEGIN_BYTES:
+            self._begin()
 
     def on_body(self, data: bytes) -> None:
-        self.body += data
-        if len(self.body) > BODY_BYTES:
+        self.size += len(data)
+        if self.size > BODY_BYTES:
             raise SpoiltError("an answer without end")
+        if self.sink is not None:
+            if not self.sink(data):
+                self._hold()
+        elif self.exchange is not None and self.parser.get_status_code() == 200:  # others are not passed on
+            self.body += data
+            if self.size > BEGIN_BYTES:
+                self._begin()
+
+    def _begin(self) -> None:
+        """It is too long to be held: its caller gets it as it comes."""
+        exchange = self.exchange
+        if exchange is None or exchange.begin is None:
+            raise SpoiltError("a long answer that nobody asked for")
+        if not exchange.sent:
+            raise SpoiltError("an answer to half a request")
+        sink = exchange.begin(self.length, self._resume)
+        if sink is None:
+            raise SpoiltError("an answer that came too late")
+        self.sink, body, self.body = sink, bytes(self.body), bytearray()
+        if body and not sink(body):
+            self._hold()
 
     def on_message_begin(self) -> None:
         if self.complete:
@@ -418,22 +525,29 @@
 
     def _answered(self, keep: bool) -> None:
         status = self.parser.get_status_code()
-        if status == 200:
-            self._end(Result.OK, keep)
-        elif status in (503, 504) and self.not_started:
+        if status in (503, 504) and self.not_started:
             self._end(Result.FULL, keep)
+        elif status == 200 and self.exchange is not None and self.exchange.sent:
+            self._end(Result.OK, keep)
         else:
             self._end(Result.ERROR, keep)
 
     def _end(self, result: Result, keep: bool) -> None:
-        exchange, self.exchange = self.exchange, None
+        exchange = self.exchange
+        self.forget()
         if self.overdue is not None:
             self.overdue.cancel()
             self.overdue = None
+        if exchange is not None and not exchange.sent:
+            keep = False
+            if result is not Result.FULL:
+                # A server begins a request at its last byte: whatever ended this one before, it never ran.
+                result = Result.CONNECT_FAILED
         if not keep:
             self.close()
         if exchange is None:
             return
+        self._resume()
         if keep:  # before the outcome is told: what follows from it may use the connection at once
             self.owner.release(self)
         whole = result is Result.OK
--- /dev/null
+++ b/tests/test_body.py
@@ -0,0 +1,68 @@
+"""A body on its way: what is held, what is dropped, and what can be read again."""
+
+from __future__ import annotations
+
+import pytest
+
+from ironrelay.net import body
+from ironrelay.net.body import Body, Budget
+
+
+def read_from(item: Body, at: int) -> tuple[list[bytes], int]:
+    pieces = []
+    while (piece := item.piece(at)) is not None:
+        pieces.append(piece)
+        at += 1
+    return pieces, at
+
+
+def test_a_small_body_can_be_read_again():
+    budget = Budget(1000)
+    item = Body(budget, lambda: None)
+    for piece in (b"a", b"b", b"c"):
+        item.add(piece)
+    item.end()
+    for _ in range(2):
+        assert read_from(item, 0) == ([b"a", b"b", b"c"], 3)
+    assert item.resendable
+    assert (budget.used, item.held, item.size) == (3, 3, 3)
+    item.release()
+    assert (budget.used, item.held, item.resendable) == (0, 0, False)
+
+
+@pytest.mark.parametrize(("hold", "share"), [(4, 1000), (1000, 4)])
+def test_past_either_bound_a_body_passes_through(monkeypatch: pytest.MonkeyPatch, hold: int, share: int):
+    """Guards memory: what has been passed on is let go of, and its writer is told that there is room."""
+    monkeypatch.setattr(body, "HOLD_BYTES", hold)
+    eased: list[int] = []
+    budget = Budget(share)
+    item = Body(budget, lambda: eased.append(item.held))
+    item.add(b"abc")
+    assert not item.streamed
+    item.add(b"def")
+    assert item.streamed
+    assert item.resendable, "nothing of it has been let go of yet"
+    pieces, at = read_from(item, 0)
+    assert pieces == [b"abc", b"def"]
+    assert (item.held, budget.used, eased, item.resendable) == (0, 0, [3, 0], False)
+    item.add(b"g")
+    assert read_from(item, at) == ([b"g"], 3)
+
+
+def test_its_reader_hears_of_more_and_of_the_end():
+    heard: list[tuple[int, bool]] = []
+    item = Body(Budget(1000), lambda: None)
+    item.reader = lambda: heard.append((item.size, item.complete))
+    item.add(b"ab")
+    item.end()
+    assert heard == [(2, False), (2, True)]
+
+
+def test_what_nobody_wants_is_counted_and_not_kept():
+    """Guards memory after an early answer: the rest of the request still comes, and is read past."""
+    budget = Budget(1000)
+    item = Body(budget, lambda: None)
+    item.add(b"ab")
+    item.release()
+    item.add(b"cd")
+    assert (item.size, item.held, budget.used, list(item.pieces)) == (4, 0, 0, [])
