--- a/ironrelay/net/discovery.py
+++ b/ironrelay/net/discovery.py
@@ -20,6 +20,7 @@
 # to tell counts as told 6 s later, heard or not: by then the module must have asked again and had an answer.
 SILENCE_S = 4.5
 CONNECT_S = 2.0
+FIRST_S = 2.5  # the agent answers at once, and says something every 2 s
 LINE_BYTES = 4 << 20  # Guards memory against a line that never ends
 
 STATES = {"active": ServerState.UP, "leaving": ServerState.DRAINING, "left": ServerState.REMOVED}
@@ -129,7 +130,8 @@
         self.buffer = b""
         self.told = False
         self.loop = asyncio.get_running_loop()
-        self.silence = self.loop.call_later(SILENCE_S, self._silent)
+        self.limit = FIRST_S  # how long it may be silent
+        self.silence = self.loop.call_later(self.limit, self._silent)
         self.heard_at = self.loop.time()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -155,6 +157,7 @@
             self.owner.failed(self, f"answered {status}")
 
     def on_body(self, data: bytes) -> None:
+        self.limit = SILENCE_S
         *lines, self.buffer = (self.buffer + data).split(b"\n")
         for line in lines:
             self.owner.line(self, line)
@@ -173,11 +176,11 @@
         del self.parser
 
     def _silent(self) -> None:
-        left = self.heard_at + SILENCE_S - self.loop.time()
+        left = self.heard_at + self.limit - self.loop.time()
         if left > 0.01:
             self.silence = self.loop.call_later(left, self._silent)
         else:
-            self.owner.failed(self, f"silent for {SILENCE_S:g} s")
+            self.owner.failed(self, f"silent for {self.limit:g} s")
 
     def close(self) -> None:
         self.silence.cancel()
--- a/ironrelay/net/relay.py
+++ b/ironrelay/net/relay.py
@@ -8,12 +8,14 @@
 import functools
 import logging
 import math
+import random
 import re
 import time
 from collections.abc import Callable
 from typing import Any
 
 from ironrelay.interface import ListForm, Request, Result
+from ironrelay.net import admin
 from ironrelay.net.admin import Admin
 from ironrelay.net.body import Budget
 from ironrelay.net.config import Config
@@ -39,6 +41,7 @@
 
 SPARE = 40  # descriptors kept for everything but callers and servers, or a part of them where there are few
 SPARE_PART = 8
+SURPLUS, SURPLUS_PART = 16, 32  # callers past the descriptors that are told so; the others are just closed
 BODIES_PART = 0.15  # of the memory, what the bodies of requests may hold together
 CALLERS = 0.85  # what callers may hold of the others; those that are idle make room for servers too
 # A stop takes at least the longest patience of a request, or 3 s, and some more. What comes during it has
@@ -48,7 +51,9 @@
 # 1.7 ms from a request's arrival to its first attempt and 1.4 ms from an answer to the caller.
 MARGIN_MS = 5.0
 FIRST_LIST_S = 1.5  # how long a process that takes over waits for discovery; then the known list has to do
-REWATCH_S = 0.5  # where lists are pushed the module never asks; the agent answers at no cost
+# Where lists are pushed the module never asks. The wait before a watch is opened again, doubled at each
+# failure up to the most: with the watch's time-outs that is within the 6 s after which all counts as told.
+REWATCH_S, REWATCH_MAX_S = 0.25, 1.0
 METHODS = (b"GET", b"POST")
 WHOLE = re.compile("[0-9]{1,7}")  # in ms: some hours, far past every class's patience
 DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
@@ -64,7 +69,7 @@
         self.loop = asyncio.get_running_loop()
         self.most = 0
         self.processes = 1  # of this node, while one takes over from another
-        self.state = State(config.state, self._shared, self._company)
+        self.state = State(config.state, self._shared, self._company, config.inherited is not None)
         self.node = Node(config.settings, config.bounds, config.seed, now_ms())
         self.upstream = Upstream(
             config.bounds, self._make_room, self._ended, self._probed, self._began, self.node.figures.tried
@@ -83,6 +88,8 @@
         since = config.known.get("seq")
         self.discovery = Discovery(config.discovery, since if isinstance(since, int) else 0, self._heard)
         self.calls: dict[str, Call] = {}
+        self.random = random.Random(config.seed)
+        self.unheard = 0  # watches that ended since one last had something to tell
         self.longest_ms = 0.0  # of the requests so far, how long a caller waits at most
         self._share(config.bounds.sockets)
         self.stopped = False
@@ -136,7 +143,11 @@
     def _share(self, sockets: int) -> None:
         sockets //= self.processes
         self.budget.most = int(self.config.bounds.memory_mb / self.processes * BODIES_PART) << 20
-        self.most = max(8, sockets - min(SPARE, max(24, sockets // SPARE_PART)))
+        spare = min(SPARE, max(24, sockets // SPARE_PART))
+        if self.config.ops is not None:
+            spare += admin.MOST  # so that no crowd can keep operators out
+        self.most = max(8, sockets - spare)
+        self.server.most_surplus = max(2, min(SURPLUS, sockets // SURPLUS_PART))
         self.server.most = max(6, int(self.most * CALLERS))
 
     def _make_room(self) -> bool:
@@ -275,10 +286,14 @@
             if self.config.settings.ask_discovery:
                 self._apply(self.node.members(now_ms(), form))
             else:
-                self.loop.call_later(REWATCH_S, self._rewatch)
+                wait = min(REWATCH_MAX_S, REWATCH_S * 2.0**self.unheard)
+                self.unheard = min(8, self.unheard + 1)
+                # Drawn, so that the nodes of a service do not all come back to it at one moment.
+                self.loop.call_later(wait * self.random.uniform(0.6, 1.0), self._rewatch)
             return
         if form is not ListForm.CACHED:
             self._told.set()
+            self.unheard = 0
         self.upstream.update(entries, whole=form is not ListForm.DELTA)
         servers = tuple(server for server, _ in entries)
         self._apply(self.node.members(now_ms(), form, servers))
--- a/ironrelay/net/server.py
+++ b/ironrelay/net/server.py
@@ -31,8 +31,7 @@
 KEPT_S = 5.0  # how long a connection that asks nothing more is kept
 SWEEP_S = 0.25
 IDLE_S = 0.2  # a connection that was used this lately is not closed to make room,
-SILENT_S = 0.3  # nor one that is this new and has not asked yet
-SURPLUS = 16  # connections past the descriptors that are told so; the others are just closed
+SILENT_S = 0.3  # nor one that is this new and has not asked yet, or has sent a part of a head this lately
 LINGER_CLOSE_S = 0.5  # how long what still comes of a refused body may hold the connection
 LINGER_S = 0.6  # how long after SIGTERM new connections still come, and some more
 STAY_S = 2.0  # and how long those that are there may go on asking: other nodes may be starting just now
@@ -159,7 +158,9 @@
         self.gone, self.healthy, self.budget = gone, healthy, budget
         self.callers: dict[Caller, None] = {}  # in order of their arrival
         self.quiet: dict[Caller, None] = {}  # those on which nothing is asked, the longest so first
+        self.halves: dict[Caller, None] = {}  # those with half a head, the longest silent first
         self.most = 1 << 20  # callers that may be connected at a time
+        self.most_surplus = 16  # callers past the descriptors that are told so; the others are just closed
         self.surplus = 0  # of the callers, those past the descriptors
         self.rejected = 0  # requests that can't be taken, since they were last logged
         self.why = ""  # the last one of them
@@ -230,13 +231,16 @@
         caller.surplus = crowded or not self.make_room()
         if caller.surplus:
             self.surplus += 1
-            if self.surplus > SURPLUS:  # Guards the process: past its own limit the system accepts no more
+            if (
+                self.surplus > self.most_surplus
+            ):  # Guards the process: past its own limit the system accepts no more
                 caller.abort()
 
     def left(self, caller: Caller) -> None:
         if caller in self.callers:
             del self.callers[caller]
             self.quiet.pop(caller, None)
+            self.halves.pop(caller, None)
             self.surplus -= caller.surplus
 
     def close_idle(self) -> bool:
@@ -248,6 +252,12 @@
                 return True
             if self.loop.time() - caller.since < SILENT_S:
                 break
+        # A slow caller goes on sending; who says no more is one of a crowd, or as good as gone.
+        half = next(iter(self.halves), None)
+        if half is not None and self.loop.time() - half.heard >= SILENT_S:
+            half.give_up()
+            self.left(half)
+            return True
         return False
 
 
@@ -274,7 +284,8 @@
         self.offer = b""  # the framing of a request that offers another protocol
         self.old = False  # it speaks HTTP/1.0
         self.last = False  # the caller wants the connection closed after this answer
-        self.since = server.loop.time()  # of the last change between idle, partial and busy
+        self.heard = server.loop.time()  # when something last came
+        self.since = self.heard  # of the last change between idle, partial and busy
         self._fresh()
 
     def _fresh(self) -> None:
@@ -346,6 +357,10 @@
         self.transport.close()
         return True
 
+    def give_up(self) -> None:
+        """Make room: what has come of this caller's request is too little for too long."""
+        self._reject(BadRequestError(408, "the request did not arrive in time"))
+
     def abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
@@ -382,6 +397,7 @@
         if self.bad:
             return
         self.raw += len(data)
+        self.heard = self.server.loop.time()
         if self.incoming is not None and self.headed:
             self.since = self.server.loop.time()
         try:
@@ -401,6 +417,9 @@
         except BadRequestError as error:
             self._reject(error)
         else:
+            self.server.halves.pop(self, None)
+            if self.partial and not self.headed and self.current is None and not self.waiting:
+                self.server.halves[self] = None  # the last one again
             self._next()
 
     def _parse(self, data: bytes) -> None:
@@ -645,6 +664,7 @@
         """What came is no request, and nothing after it on this connection is looked at, whatever waits here
         for an answer: who sends this can't be told from who sent that."""
         self.bad, self.partial = True, False
+        self.server.halves.pop(self, None)
         self.since = self.server.loop.time()
         self.server.rejected += 1
         self.server.why = f"{error.status}: {error}"
--- a/ironrelay/net/state.py
+++ b/ironrelay/net/state.py
@@ -38,9 +38,10 @@
     """Tells `shared` of the set whenever it is another, and `company` of how many processes there are.
     Without a folder it holds nothing beyond this process."""
 
-    def __init__(self, folder: str | None, shared: Shared, company: Company) -> None:
+    def __init__(self, folder: str | None, shared: Shared, company: Company, follow: bool = True) -> None:
         self.folder = Path(folder) if folder else None
         self.shared, self.company = shared, company
+        self.follow = follow  # whether another process can be there, now or later
         self.cordoned: frozenset[str] = frozenset()
         self.others = False
         self._stamp: Stamp | None = None
@@ -56,7 +57,10 @@
             fcntl.flock(self._presence, fcntl.LOCK_SH | fcntl.LOCK_NB)
         except OSError as error:
             log.error("no state is kept: %s", error)
-        self._poll()
+        if self.follow:
+            self._poll()
+        else:
+            self._catch_up()
 
     def close(self) -> None:
         if self._timer is not None:
@@ -108,6 +112,9 @@
         if self._polls % COMPANY_POLLS == 0:
             self._count()
         self._polls += 1
+        self._catch_up()
+
+    def _catch_up(self) -> None:
         stamp = self._look()
         if stamp is None or stamp == self._stamp:
             return
@@ -140,7 +147,7 @@
     def _count(self) -> None:
         """Whether another process of this node lives: all hold one lock together, so alone is who can have it
         for itself. The system lets go of it for a process that was killed."""
-        if self._presence is None:
+        if self._presence is None or not self.follow:
             return
         try:
             fcntl.flock(self._presence, fcntl.LOCK_EX | fcntl.LOCK_NB)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
@@ -108,6 +109,7 @@
     """Holds each watch open; `tell` writes a line to the newest one."""
 
     refuse: int = 0  # how many watches to answer 503 first
+    mute: bool = False  # take watches and say nothing
     asked: list[str] = field(default_factory=list)
     writers: list[asyncio.StreamWriter] = field(default_factory=list)
     port: int = 0
@@ -117,6 +119,9 @@
         if message is None:
             return
         self.asked.append(message.first)
+        if self.mute:
+            self.writers.append(writer)
+            return
         if len(self.asked) <= self.refuse:
             writer.write(answer(503, b""))
             writer.close()
@@ -165,11 +170,17 @@
 
 @contextlib.asynccontextmanager
 async def node(
-    servers: list[dict[str, Any]], discovery: FakeDiscovery | None = None, **changes: Any
+    servers: list[dict[str, Any]],
+    discovery: FakeDiscovery | None = None,
+    pushed: FakeDiscovery | None = None,
+    **changes: Any,
 ) -> AsyncIterator[Relay]:
-    """A node that knows these servers from its start."""
-    relay = Relay(config(servers, discovery, **changes))
-    if discovery is None:  # nothing listens there, and nothing is to be asked
+    """A node that knows these servers from its start. It asks `discovery`; `pushed` tells it unasked."""
+    told = config(servers, discovery or pushed, **changes)
+    if pushed is not None:
+        told = dataclasses.replace(told, settings=settings(ask_discovery=False))
+    relay = Relay(told)
+    if discovery is None and pushed is None:  # nothing listens there, and nothing is to be asked
         relay.discovery.watch = lambda: None  # type: ignore[method-assign]
     await relay.start()
     try:
--- a/tests/test_cordon.py
+++ b/tests/test_cordon.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import socket
 from pathlib import Path
 
+import pytest
 from helpers import Bed, kinds, sent, servers, settings
-from sockets import Client, FakeServer, entry, node, run, status
+from sockets import Client, FakeServer, entry, node, run, status, until
 
 from ironrelay import interface as api
 from ironrelay.net.config import Bounds
@@ -119,17 +122,24 @@
         return getattr(self._loop, name)
 
 
-def test_a_cordon_holds_over_an_upgrade(tmp_path: Path):
+def test_a_cordon_holds_over_an_upgrade(tmp_path: Path, monkeypatch: pytest.MonkeyPatch):
+    monkeypatch.setattr("ironrelay.net.relay.FIRST_LIST_S", 0.0)  # no discovery is there to wait for
+
     async def main() -> None:
-        async with FakeServer().up() as one, FakeServer().up() as two:
-            known = [entry("one", one.port), entry("two", two.port)]
-            async with node(known, state=str(tmp_path)) as old:
-                assert await old.cordon("one")
-                async with node(known, state=str(tmp_path)) as new, Client(new) as client:
-                    for _ in range(10):
-                        assert status(await client.ask()) == 200
-                    assert (len(one.got), len(two.got)) == (0, 10)
-                    assert await new.uncordon("one")
-                    assert old.node.cordoned == set()
+        with socket.create_server(("127.0.0.1", 0)) as held:
+            async with FakeServer().up() as one, FakeServer().up() as two:
+                known = [entry("one", one.port), entry("two", two.port)]
+                shared = {"state": str(tmp_path), "inherited": os.dup(held.fileno())}
+                async with node(known, **shared) as old:
+                    assert await old.cordon("one")
+                    shared["inherited"] = os.dup(held.fileno())
+                    async with node(known, **shared) as new, Client(new) as client:
+                        await until(lambda: (old.processes, new.processes) == (2, 2))
+                        assert old.most < new.config.bounds.sockets // 2
+                        for _ in range(10):
+                            assert status(await client.ask()) == 200
+                        assert (len(one.got), len(two.got)) == (0, 10)
+                        assert await new.uncordon("one")
+                        assert old.node.cordoned == set()
 
     run(main())
--- /dev/null
+++ b/tests/test_crowd.py
@@ -0,0 +1,116 @@
+"""Crowds of callers that never finish a request, and a discovery that breaks off: who asks is served."""
+
+from __future__ import annotations
+
+import contextlib
+
+import pytest
+from sockets import Client, FakeDiscovery, FakeServer, entry, node, run, status, until
+
+from ironrelay.net import discovery as discovery_module
+from ironrelay.net import relay as relay_module
+from ironrelay.net.config import Bounds
+
+HEAD = b"GET /x HTTP/1.1\r\nRequest-Id: a\r\nRequest-Class: read\r\nRequest-Timeout-Ms: 900\r\n\r\n"
+
+
+def test_the_longest_silent_half_makes_room_and_a_slow_caller_is_served():
+    """Guards callers that write slowly: under a crowd the oldest is not the one to go."""
+
+    async def main() -> None:
+        async with FakeServer().up() as server, node([entry("s", server.port)]) as relay:
+            relay.server.most = 5
+            async with Client(relay) as slow, contextlib.AsyncExitStack() as stack:
+                slow.writer.write(HEAD[:1])
+                await until(lambda: len(relay.server.halves) == 1)
+                (true,) = relay.server.halves
+                for at in range(1, len(HEAD)):
+                    for caller in relay.server.halves:
+                        caller.heard -= 1.0  # as if the pieces came one a second
+                    slow.writer.write(HEAD[at : at + 1])
+                    await until(lambda at=at: true.raw in (at + 1, 0))
+                    if at % 4 == 0:
+                        one = await stack.enter_async_context(Client(relay))
+                        one.writer.write(HEAD[:20])
+                        await until(lambda: all(caller.raw > 0 for caller in relay.server.callers))
+                assert status(await slow.answer()) == 200
+                assert len(relay.server.callers) <= 5
+
+    run(main())
+
+
+def test_a_half_that_makes_room_is_told_so():
+    async def main() -> None:
+        async with FakeServer().up() as server, node([entry("s", server.port)]) as relay:
+            async with Client(relay) as half:
+                half.writer.write(HEAD[:20])
+                await until(lambda: len(relay.server.halves) == 1)
+                (caller,) = relay.server.halves
+                caller.heard -= 1.0
+                relay.server.most = 1
+                async with Client(relay) as other:
+                    assert status(await other.ask()) == 200
+                assert status(await half.answer()) == 408
+
+    run(main())
+
+
+@pytest.mark.parametrize("sockets", [64, 192, 384, 1024])
+def test_what_a_node_may_hold_stays_within_its_descriptors(sockets: int):
+    """Guards the limit also while a crowd is told that there is no room, and operators call."""
+
+    async def main() -> None:
+        async with node([], bounds=Bounds(sockets=sockets)) as relay:
+            for processes in (1, 2):
+                relay.processes = processes
+                relay._share(sockets)
+                assert relay.server.most < relay.most
+                assert processes * (relay.most + relay.server.most_surplus + 12) <= sockets
+
+    run(main())
+
+
+def test_a_discovery_that_keeps_breaking_off_is_asked_again_with_growing_waits(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    waits: list[float] = []
+
+    async def main() -> None:
+        async with FakeServer().up() as server, FakeDiscovery(refuse=6).up() as discovery:
+            async with node([entry("s", server.port)], pushed=discovery) as relay, Client(relay) as client:
+                later = relay.loop.call_later
+
+                def noted(wait: float, call: object, *args: object) -> object:
+                    if call == relay._rewatch:
+                        waits.append(wait)
+                        wait = 0.0
+                    return later(wait, call, *args)  # type: ignore[arg-type]
+
+                relay.loop = _Loop(relay.loop, noted)  # type: ignore[assignment]
+                await until(lambda: len(discovery.asked) == 7)
+                assert status(await client.ask()) == 200  # by the list as it was held
+                discovery.tell(9, entry("s", server.port), whole=True)
+                await until(lambda: relay.unheard == 0)
+
+    run(main())
+    assert waits[0] <= relay_module.REWATCH_S
+    assert waits[-1] > 2 * waits[0]
+    assert max(waits) <= relay_module.REWATCH_MAX_S
+
+
+def test_a_watch_that_is_never_answered_is_given_up_soon(monkeypatch: pytest.MonkeyPatch):
+    monkeypatch.setattr(discovery_module, "FIRST_S", 0.05)
+
+    async def main() -> None:
+        async with FakeDiscovery(mute=True).up() as discovery, node([], pushed=discovery):
+            await until(lambda: len(discovery.asked) >= 2)
+
+    run(main())
+
+
+class _Loop:
+    def __init__(self, loop: object, call_later: object) -> None:
+        self._loop, self.call_later = loop, call_later
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._loop, name)
