--- a/ironrelay/net/node.py
+++ b/ironrelay/net/node.py
@@ -129,7 +129,7 @@
         self.cordoned: set[str] = set()  # taken out by hand; also ids that the list does not name just now
         self.open: dict[str, _Open] = {}
         self.classes = frozenset(item.name for item in settings.classes)
-        self.figures = Figures(self.classes)
+        self.figures = Figures(item.name for item in settings.classes)
         self._unanswered = 0
         self._timers: list[tuple[float, int, str, str, int]] = []  # due, order, kind, id or name, attempt
         self._crowded = TIMERS  # how many timers are looked through for those of what is over
