Connections that go stale early are learnt of and not used again

The cause was seen in the logs: resets 0 to 1 ms after a request on connections that had rested 0.127 s or more; new connections and long waits were ruled out.

--- a/ironrelay/net/upstream.py
+++ b/ironrelay/net/upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import re
 import select
 import socket
@@ -31,6 +32,10 @@
 IDLE_PART = 4  # one server's idle connections hold no more than this part of the descriptors
 IDLE_SHARE = 0.8  # a connection is retired after this share of the time in which its server may close it
 SWEEP_S = 0.5
+STALE_S = 0.02  # a reset this soon after a request on a connection that rested says that it had gone stale
+REST_SHARE = 0.7  # connections that have rested for this share of that time are not used again,
+REST_LEAST_S = 0.02  # but for no less than this,
+REST_FORGET_S = 20.0  # and each time this long passes without such a reset, twice as long
 SILENT_S = 0.5  # a server that says nothing at all for so long, while it owes an answer, may have vanished
 
 Report = dict[str, float]
@@ -101,6 +106,8 @@
         self.cordoned: set[str] = set()  # hosts to which nothing new goes out, whatever their pools say
         self.live: dict[tuple[str, int], _Exchange] = {}
         self.opened = self.coming = 0  # connections, and those that are coming up
+        self.rest_s = math.inf  # how long a connection may rest, by what resets have taught
+        self.taught_s = 0.0  # when they last did, or when a part of it was last forgotten
         self.spoilt, self.why = 0, ""  # answers that were none, since they were last logged; the last one
         self.loop = asyncio.get_running_loop()
         self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
@@ -212,13 +219,14 @@
 
     def _begin(self, host: str, exchange: _Exchange) -> None:
         pool = self.pools.get(host)
-        rested = self.loop.time() - SETTLE_S
+        now = self.loop.time()
+        rested = now - SETTLE_S
         idle = pool.idle if pool is not None and self._open_to(host) else ()
         for conn in reversed(idle):  # the latest used: the others age
             if conn.idle_since > rested:
                 continue
             conn.pool.idle.remove(conn)
-            if conn.usable():
+            if now - conn.idle_since < self.rest_s and conn.usable():
                 conn.send(exchange)
                 return
             conn.close()
@@ -249,6 +257,15 @@
         else:
             exchange.done(Result.CONNECT_FAILED, None, b"")
 
+    def stale(self, rested_s: float) -> None:
+        """A connection that had rested for so long was of no use, and only the request found out. Guards what
+        must not be repeated. Harm: more new connections than there need be, until that is forgotten."""
+        self.taught_s = self.loop.time()
+        limit = max(REST_LEAST_S, rested_s * REST_SHARE)
+        if limit < self.rest_s:
+            self.rest_s = limit
+            log.info("connections go stale: they may rest for %.3f s from now on", limit)
+
     @property
     def descriptors(self) -> int:
         return self.opened + self.coming
@@ -280,7 +297,10 @@
         if self.spoilt:
             log.info("%d spoilt answers, the last one from %s", self.spoilt, self.why)
             self.spoilt = 0
-        oldest = self.loop.time() - self.bounds.conn_idle_ms / 1000.0 * IDLE_SHARE
+        longest = self.bounds.conn_idle_ms / 1000.0 * IDLE_SHARE
+        if self.rest_s < longest and self.loop.time() - self.taught_s >= REST_FORGET_S:
+            self.rest_s, self.taught_s = self.rest_s * 2.0, self.loop.time()
+        oldest = self.loop.time() - min(longest, self.rest_s)
         for pool in self.pools.values():
             stale = [conn for conn in pool.idle if conn.idle_since <= oldest]
             if stale:
@@ -303,6 +323,7 @@
         self.transport: asyncio.Transport | None = None
         self.exchange: _Exchange | None = None
         self.idle_since = self.heard_s = 0.0
+        self.sent_s = self.rested_s = 0.0  # when it last got a request, and how long it had rested then
         self.counted = self.choked = self.paused = False
         self.overdue: asyncio.TimerHandle | None = None
         self._fresh()
@@ -340,6 +361,8 @@
     def send(self, exchange: _Exchange) -> None:
         assert self.transport is not None
         self._fresh()
+        self.sent_s = self.owner.loop.time()
+        self.rested_s = self.sent_s - self.idle_since if self.idle_since else 0.0
         self.exchange, exchange.conn = exchange, self
         self.transport.write(exchange.head)
         exchange.head = b""  # never sent again from here; Guards memory while the answer takes its time
@@ -518,6 +541,11 @@
             self.owner.opened -= 1
         self._leave_pool()
         self.transport = None
+        now = self.owner.loop.time()
+        # A reset, not an end: whoever closes a connection in an orderly way has told so before.
+        reset = self.exchange is not None and isinstance(exc, ConnectionError) and not self.head_bytes
+        if reset and self.rested_s > 0.0 and now - self.sent_s <= STALE_S:
+            self.owner.stale(self.rested_s)
         # It was written to, so it may have run, whatever the break looks like from here.
         self._end(Result.RESET, keep=False)
         # Guards memory: the parser and this object hold one another, and the collector comes seldom.
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -7,6 +7,7 @@
 import dataclasses
 import gc
 import socket
+import struct
 import weakref
 
 import pytest
@@ -223,6 +224,42 @@
     run(main())
 
 
+@pytest.mark.usefixtures("no_rest")
+def test_a_node_learns_that_idle_connections_go_stale_early(monkeypatch: pytest.MonkeyPatch):
+    """Guards unsafe requests where connections are forgotten without a word: one is lost, not each time."""
+    monkeypatch.setattr("ironrelay.net.upstream.STALE_S", 1.0)  # a busy machine may be late to say
+
+    async def main() -> None:
+        seen: dict[int, float] = {}
+
+        async def forgetful(message: Message, writer: asyncio.StreamWriter) -> None:
+            now = asyncio.get_running_loop().time()
+            rested = now - seen.get(message.connection, now)
+            seen[message.connection] = now
+            if rested >= 0.1:
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                writer.transport.abort()
+            else:
+                writer.write(answer())
+
+        async with FakeServer(forgetful).up() as server, node([entry("s", server.port)]) as relay:
+            async with Client(relay) as client:
+                assert status(await client.ask("post")) == 200
+                await asyncio.sleep(0.15)
+                assert status(await client.ask("post")) == 502, "it may have run, whatever is likely"
+                assert 0.07 <= relay.upstream.rest_s < 5.0
+                relay.upstream.rest_s = 0.07
+                for _ in range(3):
+                    assert status(await client.ask("post")) == 200
+                    await asyncio.sleep(0.15)
+                assert relay.upstream.rest_s == 0.07
+                relay.upstream.taught_s -= 60.0
+                await until(lambda: relay.upstream.rest_s > 0.1)  # it is tried again in time
+
+    run(main())
+
+
 def test_reports_reach_the_module_also_with_a_failure():
     """Guards the ranking: a full server says how full it is in the very answer that turns a call away."""
 
