A server that reads nothing of a body is given up, and no request gets a second answer

Seen in a review of what ends a request whose body is still to come: no deadline runs before its last byte, and a stall behind an early refusal wrote a 408 after the 503. Both have a test that fails without the change.

--- a/ironrelay/net/server.py
+++ b/ironrelay/net/server.py
@@ -669,6 +669,8 @@
         self.server.rejected += 1
         self.server.why = f"{error.status}: {error}"
         begun = self.current is not None and self.current.begun
+        coming = self.incoming
+        answered = coming is not None and coming.asked and self.current is not coming
         self._forget()
         self.ahead = 0
         transport = self.transport
@@ -677,6 +679,9 @@
         if begun:  # in the middle of an answer there is no place for another one
             transport.abort()
             return
+        if answered:  # a second answer would be taken for that to another request
+            transport.close()
+            return
         text = str(error).encode() + b"\n"
         head = f"HTTP/1.1 {error.status} {REASONS[error.status]}\r\nContent-Length: {len(text)}\r\n"
         transport.write(head.encode() + b"Connection: close\r\n\r\n" + text)
--- a/ironrelay/net/upstream.py
+++ b/ironrelay/net/upstream.py
@@ -27,6 +27,7 @@
 HEAD_BYTES = 16 * 1024  # of an answer, those of the interim ones before it included
 PARTIAL_S = 0.8  # an answer that has begun and pauses for so long is no good
 STALL_S = 15.0  # the same of one that is being passed on: cutting it off is the last resort
+WRITE_STALL_S = 6.0  # how long a server may take nothing at all of a request that is being written
 FIGURE = re.compile(r"[0-9]{1,6}(\.[0-9]{1,9})?")  # a load is no more than that
 SETTLE_S = 0.002  # what belongs to no answer comes right behind one: until then its connection rests
 IDLE_PART = 4  # one server's idle connections hold no more than this part of the descriptors
@@ -297,6 +298,9 @@
         if self.spoilt:
             log.info("%d spoilt answers, the last one from %s", self.spoilt, self.why)
             self.spoilt = 0
+        for exchange in list(self.live.values()):
+            if exchange.conn is not None and not exchange.sent:
+                exchange.conn.give_up_if_untaken()
         longest = self.bounds.conn_idle_ms / 1000.0 * IDLE_SHARE
         if self.rest_s < longest and self.loop.time() - self.taught_s >= REST_FORGET_S:
             self.rest_s, self.taught_s = self.rest_s * 2.0, self.loop.time()
@@ -323,6 +327,7 @@
         self.transport: asyncio.Transport | None = None
         self.exchange: _Exchange | None = None
         self.idle_since = self.heard_s = 0.0
+        self.untaken = (0, 0.0)  # what the server has not taken of a request, and since when
         self.sent_s = self.rested_s = 0.0  # when it last got a request, and how long it had rested then
         self.counted = self.choked = self.paused = False
         self.overdue: asyncio.TimerHandle | None = None
@@ -362,6 +367,7 @@
         assert self.transport is not None
         self._fresh()
         self.sent_s = self.owner.loop.time()
+        self.untaken = (0, self.sent_s)
         self.rested_s = self.sent_s - self.idle_since if self.idle_since else 0.0
         self.exchange, exchange.conn = exchange, self
         self.transport.write(exchange.head)
@@ -398,6 +404,17 @@
         self.choked = False
         self._feed()
 
+    def give_up_if_untaken(self) -> None:
+        """Guards a caller that sends a long body against a server that does not read it: no deadline runs
+        before the request's last byte."""
+        now = self.owner.loop.time()
+        left = self.transport.get_write_buffer_size() if self.transport is not None else 0
+        if not self.choked or left != self.untaken[0]:
+            self.untaken = (left, now)
+        elif now - self.untaken[1] >= WRITE_STALL_S:
+            log.info("%s:%d takes nothing of a request", *self.dial)
+            self._end(Result.CONNECT_FAILED, keep=False)
+
     def forget(self) -> None:
         """What this connection carries is over, as far as it goes."""
         exchange, self.exchange = self.exchange, None
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -5,8 +5,7 @@
 import asyncio
 import contextlib
 import hashlib
-from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass, field
+from collections.abc import Awaitable, Callable
 
 import pytest
 from sockets import Client, FakeServer, answer, entry, node, read_message, run, status, until
@@ -18,14 +17,12 @@
 Connected = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
-@dataclass
-class RawServer:
+class RawServer(FakeServer):
     """Does with each connection what a test says."""
 
-    connected: Connected
-    port: int = 0
-    connections: int = 0
-    writers: list[asyncio.StreamWriter] = field(default_factory=list)
+    def __init__(self, connected: Connected) -> None:
+        super().__init__()
+        self.connected = connected
 
     async def _take(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
@@ -33,17 +30,6 @@
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             await self.connected(reader, writer)
 
-    @contextlib.asynccontextmanager
-    async def up(self) -> AsyncIterator[RawServer]:
-        server = await asyncio.start_server(self._take, "127.0.0.1", 0, limit=1 << 16)
-        self.port = server.sockets[0].getsockname()[1]
-        try:
-            yield self
-        finally:
-            server.close()
-            for writer in self.writers:
-                writer.close()
-
 
 def request(framing: str, service: str = "post", **more: str) -> bytes:
     lines = ["POST /api/k HTTP/1.1", "Host: a", "Request-Id: big", f"Request-Class: {service}"]
@@ -468,3 +454,44 @@
                 assert [message.body for message in server.got] == [b"ab", b""]
 
     run(main())
+
+
+def test_a_server_that_reads_nothing_of_a_body_is_given_up(monkeypatch: pytest.MonkeyPatch):
+    """Guards callers: before the last byte no deadline runs, so nothing else would end this."""
+    monkeypatch.setattr(upstream_module, "WRITE_STALL_S", 0.2)
+    monkeypatch.setattr(upstream_module, "SWEEP_S", 0.05)
+
+    async def ignoring(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+
+    async def main() -> None:
+        async with RawServer(ignoring).up() as server, node([entry("s", server.port)]) as relay:
+            async with Client(relay) as client:
+                client.writer.write(request(f"Content-Length: {30 << 20}"))
+                sending = asyncio.ensure_future(_send(client.writer, 30 << 20))
+                assert status(await client.answer()) == 503, "it never ran"
+                await sending  # and the rest is read past
+                assert status(await client.ask("post", id="next")) == 504
+                assert relay.budget.used == 0
+
+    run(main())
+
+
+async def _send(writer: asyncio.StreamWriter, size: int) -> None:
+    for _ in range(0, size, 1 << 16):
+        writer.write(pattern(1 << 16))
+        await writer.drain()
+
+
+def test_a_request_that_has_its_answer_gets_no_second_one(monkeypatch: pytest.MonkeyPatch):
+    """Guards the order of answers: the rest of a refused body stops on its way, and that is all."""
+    monkeypatch.setattr(server_module, "PARTIAL_S", 0.1)
+    monkeypatch.setattr(body_module, "HOLD_BYTES", 10)
+
+    async def main() -> None:
+        async with node([entry("down", 1)]) as relay, Client(relay) as client:
+            client.writer.write(request("Content-Length: 1000") + b"x" * 500)
+            assert status(await client.answer()) == 503
+            assert await client.reader.read() == b""
+
+    run(main())
