--- a/rosewheel/decide/interface.py
+++ b/rosewheel/decide/interface.py
@@ -226,7 +226,34 @@
     out: bool
 
 
-Event = Membership | Moved | Cordon | Request | Arrived | Started | Outcome | Lapsed | Alarm | Probed
+@dataclass(slots=True)
+class Company:
+    """So many processes of one node decide just now, each with a balancer of its own: an upgrade."""
+
+    processes: int
+
+
+@dataclass(slots=True)
+class Beside:
+    """What the other processes of this node have in flight, by weight, at each server where they have any."""
+
+    loads: dict[str, float]
+
+
+Event = (
+    Membership
+    | Moved
+    | Cordon
+    | Company
+    | Beside
+    | Request
+    | Arrived
+    | Started
+    | Outcome
+    | Lapsed
+    | Alarm
+    | Probed
+)
 
 
 # ------------------------------------------------------------------- actions
--- a/rosewheel/decide/policy.py
+++ b/rosewheel/decide/policy.py
@@ -79,6 +79,7 @@
     errs: float = 0.0  # smoothed share of failed attempts
     heard_ms: float = -math.inf
     load: float = 0.0  # calls in flight from here, by weight
+    beside: float = 0.0  # the same of other processes of this node
     queue: float = 0.0  # reported calls of other balancers there
     told_ms: float = -math.inf
     util: float | None = None
@@ -151,6 +152,7 @@
         self.ready: list[_Peer] = []  # those that may be sent to
         self.cordoned: dict[str, float] = {}  # those that operators have taken out, and when
         self.jobs: dict[str, _Job] = {}
+        self.processes = 1  # of this node, each with a balancer; only during an upgrade more
         self.started = False
         self.watch_failures = 0
         self.watch_due = False  # an alarm is set after which discovery is asked again
@@ -201,6 +203,11 @@
             self._on_membership(now, event, acts)
         elif isinstance(event, api.Cordon):
             self._on_cordon(now, event)
+        elif isinstance(event, api.Company):
+            self._on_company(event)
+        elif isinstance(event, api.Beside):
+            for address, peer in self.peers.items():
+                peer.beside = event.loads.get(address, 0.0)
         elif isinstance(event, api.Lapsed) and event.id in self.jobs:
             self._end(self.jobs[event.id], acts)
         elif isinstance(event, api.Arrived) and event.id in self.jobs:
@@ -217,6 +224,20 @@
             self._hear(now, event.server, event.report)
         return acts
 
+    # --------------------------------------------------------------- company
+
+    def loads(self) -> dict[str, float]:
+        """Calls in flight from here, by weight, at each server that has any."""
+        return {address: peer.load for address, peer in self.peers.items() if peer.load > 0.0}
+
+    def _on_company(self, event: api.Company) -> None:
+        """Guard: to the servers the processes of one node are one. What a cold server may be sent is shared
+        out: here the credit that it has; what it earns later comes by what is asked of each."""
+        if event.processes > self.processes:
+            for peer in self.peers.values():
+                peer.credit *= self.processes / event.processes
+        self.processes = max(1, event.processes)
+
     # --------------------------------------------------------------- learned
 
     def learned(self, now: float) -> Learned:
@@ -302,7 +323,8 @@
                 continue
             known = self.peers.get(server.address)
             if known is None or known.info.launched_ms != server.launched_ms:  # new, or restarted
-                self.peers[server.address] = _Peer(server, credit=self.rng.random(), paced_ms=now)
+                first = self.rng.random() / self.processes
+                self.peers[server.address] = _Peer(server, credit=first, paced_ms=now)
             else:
                 known.info = server
         self._muster()
@@ -402,7 +424,8 @@
             mean = self.class_ms.get(self.jobs[oldest[0][0]].kind.name)
             slow = max(slow, (now - oldest[1]) / mean) if mean else slow
         failing = 1.0 - min(0.9, peer.errs)
-        queue = peer.queue * math.exp((peer.told_ms - now) / STALE_MS)
+        # What a server reports has what other processes of this node sent it in it, a little late.
+        queue = max(peer.beside, peer.queue * math.exp((peer.told_ms - now) / STALE_MS))
         far = ZONE_WEIGHT * self.cfg.cross_zone_price if peer.info.zone != self.cfg.zone else 0.0
         return slow * (peer.load + queue + 1.0 + far) / failing * self.rng.uniform(0.95, 1.05)
 
--- /dev/null
+++ b/rosewheel/handover/service.py
@@ -0,0 +1,246 @@
+"""Where two processes of one node find one another, and what they agree on."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import socket
+from pathlib import Path
+from typing import Any
+
+from rosewheel.handover import wire
+from rosewheel.handover.giver import Giver
+from rosewheel.handover.link import Link, connect, drop, listen, own_peer
+from rosewheel.handover.moves import Item, Moves
+from rosewheel.handover.taker import Taker
+
+log = logging.getLogger("rosewheel.handover")
+
+BESIDE_S = 0.05  # how often each tells the other what it has in flight
+MOST_TOLD = 500  # equipos, those with the most in flight; a packet has an end
+FOLLOW_S = 0.02
+LEND_S = 1.0  # how long a new process waits for the listening socket of the one before it
+
+
+class Handover:
+    """Of one process: the link to the one before it, the link to the one after it. Without a folder there is
+    neither."""
+
+    def __init__(self, folder: str | None, name: str, moves: Moves) -> None:
+        self.folder = Path(folder) if folder else None
+        self.name, self.moves = name, moves
+        self.before: Link | None = None
+        self.after: Link | None = None
+        self.giver: Giver | None = None
+        self.taker: Taker | None = None
+        self.ready = False  # the process after this one serves
+        self.serving = self.left = False
+        self.loop = asyncio.get_running_loop()
+        self._listener: socket.socket | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._lent: asyncio.Future[list[int]] | None = None
+        self._versions: dict[Link, int] = {}
+
+    # ----------------------------------------------------------------- start
+
+    def greet(self) -> bool:
+        """Speak to the process before this one, if there is one that listens."""
+        sock = connect(self.folder) if self.folder is not None else None
+        if sock is None:
+            return False
+        self.before = Link(sock, self._heard, self._lost)
+        self.before.send(self._hello())
+        self._beside()
+        return True
+
+    async def borrow(self) -> list[int]:
+        """The listening sockets of the process before this one, that of its door included, if it lends them."""
+        if self.before is None:
+            return []
+        self._lent = self.loop.create_future()
+        self.before.send({"t": "lend"})
+        try:
+            async with asyncio.timeout(LEND_S):
+                return await self._lent
+        except TimeoutError:
+            log.warning("the process before does not answer")
+            return []
+        finally:
+            self._lent = None
+
+    def serve(self) -> None:
+        """This process serves: the one before it may give, and the next one finds this one."""
+        self.serving = True
+        if self.before is not None and self.before in self._versions:
+            self.before.send({"t": "ready"})
+        if self.folder is None:
+            return
+        try:
+            self._listener = listen(self.folder)
+        except OSError as error:
+            log.error("nothing will be handed over at an upgrade: %s", error)
+            return
+        self.loop.add_reader(self._listener, self._accept)
+
+    def _hello(self) -> dict[str, Any]:
+        return {"t": "hello", "versions": list(wire.VERSIONS), "node": self.name, "pid": os.getpid()}
+
+    def _accept(self) -> None:
+        assert self._listener is not None
+        try:
+            sock, _ = self._listener.accept()
+        except OSError:
+            return
+        if not own_peer(sock) or self.left:
+            sock.close()
+            return
+        # The latest: one that came before it hung, or died, or has been overtaken.
+        if self.after is not None:
+            self.after.close()
+        self.after = Link(sock, self._heard, self._lost)
+        self.ready = False
+        there, here = os.pipe2(os.O_CLOEXEC | os.O_NONBLOCK)
+        self.giver = Giver(self.after, self.moves, here)
+        try:
+            self.after.send(self._hello(), fds=(there,))
+        finally:
+            self._keep_until_sent(there)
+        self._beside()
+
+    def _keep_until_sent(self, fd: int) -> None:
+        # The first packet of a new link never waits: its queue is empty.
+        drop([fd])
+
+    # ------------------------------------------------------------------ words
+
+    def _heard(self, link: Link, message: wire.Message, blob: bytes, fds: list[int]) -> None:
+        kind = message["t"]
+        if kind == "hello":
+            self._greeted(link, message, fds)
+        elif link not in self._versions:
+            drop(fds)  # Guards against who speaks before the versions are agreed
+        elif kind == "ready":
+            self.ready = link is self.after
+            log.info("the next process serves")
+        elif kind in ("took", "no") and self.giver is not None and link is self.after:
+            if kind == "took":
+                self.giver.took(message.get("n"))
+            else:
+                self.giver.refused(message.get("n"), message.get("why"))
+        elif kind == "give" and self.taker is not None and link is self.before:
+            self.moves.relay.beside_holds(message.get("held"))
+            item = Item(str(message.get("kind")), message.get("state") or {}, fds, blob)
+            self.taker.given(int(message["n"]), item)
+        elif kind == "leaving" and link is self.before:
+            self.moves.relay.beside_leaves(message.get("held"))
+        elif kind == "beside":
+            self.moves.relay.beside(message.get("loads"))
+        elif kind == "lend":
+            self._lend(link)
+        elif kind == "lent" and self._lent is not None and not self._lent.done():
+            self._lent.set_result(fds)
+        else:
+            drop(fds)  # of a later version
+
+    def _greeted(self, link: Link, message: wire.Message, fds: list[int]) -> None:
+        version = wire.agreed(message.get("versions"))
+        if version is None or message.get("node") != self.name:
+            log.warning(
+                "nothing is handed over: the other process speaks versions %s for node %r",
+                message.get("versions"),
+                message.get("node"),
+            )
+            drop(fds)
+            link.close()
+            return
+        self._versions[link] = version
+        self.moves.relay.state.follow_now()
+        log.info("in touch with process %s of this node, version %d", message.get("pid"), version)
+        if link is self.before and fds:
+            self.taker = Taker(link, self.moves, fds[0])
+            drop(fds[1:])
+            if self.serving:  # it was slow to answer
+                link.send({"t": "ready"})
+        else:
+            drop(fds)
+
+    def _lend(self, link: Link) -> None:
+        relay = self.moves.relay
+        socks = (relay.server.listening_socket, relay.admin.listening_socket)
+        link.send({"t": "lent"}, fds=tuple(sock.fileno() for sock in socks if sock is not None))
+
+    def _beside(self) -> None:
+        """Tell the other process what this one has in flight, for as long as there is one."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        links = [link for link in (self.before, self.after) if link is not None and link.open]
+        if not links:
+            self.moves.relay.beside({})
+            return
+        loads = self.moves.relay.node.loads
+        if len(loads) > MOST_TOLD:
+            loads = dict(sorted(loads.items(), key=lambda row: -row[1])[:MOST_TOLD])
+        for link in links:
+            if link in self._versions:
+                link.send({"t": "beside", "loads": loads})
+        self._timer = self.loop.call_later(BESIDE_S, self._beside)
+
+    def _lost(self, link: Link) -> None:
+        self._versions.pop(link, None)
+        if link is self.before:
+            if self.taker is not None:
+                log.info("the process before has gone; taken from it: %s", _counts(self.taker.taken))
+                self.taker.close()
+            self.before = self.taker = None
+            self.moves.relay.beside({})
+        elif link is self.after:
+            self.ready = False
+            if self.giver is not None:
+                self.giver.lost()
+            self.after = None
+
+    # -------------------------------------------------------------------- end
+
+    def leave(self) -> bool:
+        """This process has been told to stop: whether another one takes over."""
+        self.left = True
+        self._stop_listening()
+        if not self.ready or self.giver is None or self.after is None:
+            return False
+        self.after.send({"t": "leaving", "held": self.moves.relay.descriptors})
+        return True
+
+    def give(self) -> bool:
+        """What can be given by now is; False once nothing more will be."""
+        giver = self.giver
+        if giver is None or not giver.give():
+            return giver is not None and giver.busy
+        return True
+
+    @property
+    def done(self) -> bool:
+        """Nothing is under way to the next process, and nothing is left that could go there."""
+        return self.giver is None or self.giver.over or not self.giver.busy
+
+    def _stop_listening(self) -> None:
+        # Its name in the folder stays: the next process has put its own there, or will.
+        if self._listener is not None:
+            self.loop.remove_reader(self._listener)
+            self._listener.close()
+            self._listener = None
+
+    def close(self) -> None:
+        self._stop_listening()
+        if self._timer is not None:
+            self._timer.cancel()
+        if self.giver is not None:
+            log.info("handed over: %s; stayed: %d", _counts(self.giver.moved), self.giver.offers.kept)
+        for link in (self.before, self.after):
+            if link is not None:
+                link.close()
+
+
+def _counts(moved: dict[str, int]) -> str:
+    return ", ".join(f"{count} {kind}" for kind, count in sorted(moved.items())) or "nothing"
--- a/rosewheel/http/callers.py
+++ b/rosewheel/http/callers.py
@@ -4,17 +4,19 @@
 
 import asyncio
 import logging
+import os
 import socket
 import struct
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import cast
-from urllib.parse import urlsplit
+from typing import Any, cast
 
 import httptools
 
 from rosewheel.http.body import Body, Budget
+from rosewheel.http.call import SINGLE_HEADERS, BadRequestError, Call, origin_form
+from rosewheel.http.framing import Chunks, FramingError
 from rosewheel.listener import BACKLOG
 
 log = logging.getLogger("rosewheel.callers")
@@ -52,93 +54,18 @@
     503: "Service Unavailable",
     504: "Gateway Timeout",
 }
-# What may stand in a request once only: two of them are two opinions on what it is.
-SINGLE_HEADERS = frozenset(
-    (
-        b"content-length",
-        b"transfer-encoding",
-        b"request-id",
-        b"request-class",
-        b"request-timeout-ms",
-        b"idempotency-key",
-    )
-)
-# Of one connection only, or written anew for the server.
-OWN_HEADERS = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"expect",
-        b"content-length",
-        b"request-timeout-ms",
-    )
-)
-
-
-class BadRequestError(Exception):
-    """A request that can't be taken, with the status that tells so."""
-
-    def __init__(self, status: int, why: str) -> None:
-        super().__init__(why)
-        self.status = status
 
 
 @dataclass(slots=True, eq=False)
-class Call:
-    """A caller's request. Its body may still be on its way."""
-
-    caller: Caller
-    method: bytes
-    target: bytes
-    headers: list[tuple[bytes, bytes]]
-    body: Body
-    length: int | None = None  # of the body, where the head tells
-    id: str = ""
-    asked: bool = False  # the relay has been asked
-    patience_ms: float = 0.0  # how long its caller waits from its last byte on
-    begun: bool = False  # a long answer is being passed on
-
-    def header(self, name: bytes) -> str | None:
-        for key, value in self.headers:
-            if key == name:
-                return value.decode("latin-1").strip()
-        return None
-
-    def head(self, timeout_ms: float) -> tuple[bytes, bool]:
-        """The request's head as it goes on to a server, and whether its body goes in chunks."""
-        target, authority = origin_form(self.target)
-        parts = [b"%b %b HTTP/1.1\r\n" % (self.method, target)]
-        own = OWN_HEADERS
-        if authority is not None or self.header(b"host") is None:
-            parts.append(b"Host: %b\r\n" % (authority or b""))
-            own = OWN_HEADERS | {b"host"}
-        # What the caller names in Connection is of that connection only.
-        named = {
-            item.strip().lower() for item in (self.header(b"connection") or "").encode("latin-1").split(b",")
-        }
-        own = own | (named - SINGLE_HEADERS)
-        parts += [b"%b: %b\r\n" % pair for pair in self.headers if pair[0] not in own]
-        parts.append(b"Request-Timeout-Ms: %d\r\n" % max(1, int(timeout_ms)))
-        length = self.body.size if self.body.complete else self.length
-        if length is None:
-            parts.append(b"Transfer-Encoding: chunked\r\n")
-        elif length or self.method != b"GET":
-            parts.append(b"Content-Length: %d\r\n" % length)
-        return b"".join((*parts, b"\r\n")), length is None
-
-
-def origin_form(target: bytes) -> tuple[bytes, bytes | None]:
-    """A target as a server wants it, and the authority where the target named one: a proxy takes either."""
-    if target[:7].lower() != b"http://":
-        return target, None
-    parts = urlsplit(target.decode("latin-1"))
-    path = (parts.path or "/") + (f"?{parts.query}" if "?" in target.decode("latin-1") else "")
-    return path.encode("latin-1"), parts.netloc.rpartition("@")[2].encode("latin-1")
+class Lifted:
+    """A caller's connection taken off this process's loop, for another to go on with."""
+
+    fd: int
+    held: (
+        bytes  # of what was written, what the system has not taken yet; then what was read of half a request
+    )
+    state: dict[str, Any]
+    call: Call | None  # whose long answer is being passed on
 
 
 class Server:
@@ -178,31 +105,42 @@
     def listening(self) -> bool:
         return self._listener is not None and not self.draining
 
+    @property
+    def listening_socket(self) -> socket.socket | None:
+        """For another process to accept from as well."""
+        return self._listener.sockets[0] if self._listener is not None and self.listening else None
+
     @property
     def port(self) -> int:
         assert self._listener is not None
         return int(self._listener.sockets[0].getsockname()[1])
 
-    async def drain(self, handover: bool = False) -> None:
+    async def drain(self, handover: bool = False, give: Callable[[], bool] | None = None) -> None:
         """Answer what still comes, then close; returns when no caller is left. At a handover another process
-        accepts from the same socket: this one lets go of it at once, and sends its callers over there."""
+        accepts from the same socket: this one lets go of it at once, and sends its callers over there, or
+        `give`s them: which does what can be done by now, and says whether that goes on."""
         self.draining, self.drained_s = True, self.loop.time()
-        self.handover = self.closing = handover
+        giving = give is not None and give()
+        self.handover, self.closing = handover, handover and not giving
         if self._listener is not None and handover:
             self._listener.close()
-        await asyncio.sleep(LINGER_S)
+        if not giving:
+            await asyncio.sleep(LINGER_S)
         if self._listener is not None:
             self._listener.close()
         began = self.loop.time()
-        await asyncio.sleep(STAY_S - LINGER_S)
-        self.closing = True
-        while self.callers:
+        if not giving:
+            await asyncio.sleep(STAY_S - LINGER_S)
+        while self.callers or giving:
+            giving = giving and give is not None and give()
+            self.closing = not giving
             late = self.loop.time() - began > DRAIN_S
             for caller in list(self.callers):
-                caller.close_if_idle(FRESH_S)
+                if not giving or caller.kept:
+                    caller.close_if_idle(FRESH_S)
                 if late and caller.current is None:
                     caller.abort()
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(0.005 if giving else 0.02)
         self.close()
 
     def close(self) -> None:
@@ -284,6 +222,18 @@
         self.offer = b""  # the framing of a request that offers another protocol
         self.old = False  # it speaks HTTP/1.0
         self.last = False  # the caller wants the connection closed after this answer
+        self.recent: deque[bytes] = deque()  # what was written last, at least as far as it is not sent
+        self.recent_bytes = 0
+        self.lifted: Callable[[Lifted | None], None] | None = None  # it is being taken off the loop
+        self.kept = False  # another process did not want it
+        self._resumed = b""  # what an earlier process had not sent yet
+        self._resumed_read = b""  # and what it had read of a request that is not whole
+        self._resumed_close = False
+        self.begins = self.ends = 0  # of messages, within what came last
+        self.half: bytearray | None = (
+            bytearray()
+        )  # a head that is not whole, as it came; None: it can't be told
+        self.chunks: Chunks | None = None  # where a body in chunks stands that is not whole
         self.heard = server.loop.time()  # when something last came
         self.since = self.heard  # of the last change between idle, partial and busy
         self._fresh()
@@ -300,9 +250,19 @@
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=WINDOW_BYTES)
         self.server.joined(self)
+        if self._resumed:
+            unsent, self._resumed = self._resumed, b""
+            self._put(unsent)
+        if self._resumed_close:
+            self.transport.close()
+        elif self._resumed_read:
+            read, self._resumed_read = self._resumed_read, b""
+            self.data_received(read)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.left(self)
+        if self.lifted is not None and self._hand(exc):
+            return
         self.transport = None
         self._forget()
         # Guards memory: the parser and this object hold one another, and the collector comes seldom.
@@ -391,6 +351,121 @@
         elif now - since >= TAKE_S:
             self.abort()
 
+    # ----------------------------------------------------------------- moving
+
+    @property
+    def movable(self) -> bool:
+        """Whether another process could go on from here: nothing of a request is half read or waits for its
+        answer, and what was written and not sent is at hand."""
+        transport = self.transport
+        if transport is None or self.bad or self.surplus or self.kept or self.lifted is not None:
+            return False
+        if self.waiting or self.ending or self.expecting or self.offer:
+            return False
+        if (self.partial or self.incoming is not None) and not self._half_movable:
+            return False
+        if self.current is not None and not self.current.begun:
+            return False
+        unsent = transport.get_write_buffer_size()
+        if transport.is_closing() and not (unsent and self.current is None):
+            return False
+        return unsent <= self.recent_bytes
+
+    @property
+    def _half_movable(self) -> bool:
+        """Whether what has come of a request that is not whole could be read again from its first byte."""
+        call = self.incoming
+        if call is None or not self.headed:
+            return self.half is not None and self.current is None
+        if call.asked or self.current is not None or call.body.first or call.body.unwanted:
+            return False
+        if call.header(b"upgrade") is not None:
+            return False
+        return call.length is not None or (self.chunks is not None and self.chunks.midway)
+
+    def _half_read(self) -> bytes:
+        """What has come of a request that is not whole, in bytes that say the same."""
+        call = self.incoming
+        if call is None or not self.headed:
+            return bytes(self.half or b"") if self.partial else b""
+        version = b"1.0" if self.old else b"1.1"
+        lines = [b"%b %b HTTP/%b\r\n" % (call.method, call.target, version)]
+        lines += [b"%b: %b\r\n" % pair for pair in call.headers if pair[0] != b"expect"]
+        body = b"".join(call.body.pieces)
+        if call.length is None:
+            assert self.chunks is not None
+            body = self.chunks.again(body)
+        return b"".join((*lines, b"\r\n", body))
+
+    def lift(self, done: Callable[[Lifted | None], None]) -> None:
+        """Take a movable connection off the loop; `done` gets it, or None where it ended meanwhile. From here on
+        nothing is read from it or written to it. Only a loop whose transports keep what was not sent until
+        `connection_lost` has returned will do; uvloop's do."""
+        assert self.transport is not None
+        self.lifted = done
+        self._resumed_close = self.transport.is_closing()
+        self.transport.abort()
+
+    def _hand(self, exc: Exception | None) -> bool:
+        """The loop lets go of it, and closes its own descriptor as soon as this returns."""
+        done, self.lifted = self.lifted, None
+        assert done is not None
+        assert self.transport is not None
+        unsent = self.transport.get_write_buffer_size()
+        try:
+            if exc is not None or unsent > self.recent_bytes:
+                raise OSError("it ended")
+            fd = os.dup(self.transport.get_extra_info("socket").fileno())
+        except OSError:
+            done(None)
+            return False
+        self.transport = None
+        call, self.current = self.current, None
+        if call is not None:
+            call.body.release()
+        state = {
+            "old": self.old,
+            "last": self.last,
+            "chunked": self.chunked,
+            "asked": self.asked,
+            "closing": self._resumed_close,
+            "unsent": unsent,
+        }
+        read = self._half_read()
+        if self.incoming is not None:
+            self.incoming.body.release()
+            self.incoming = None
+        del self.parser
+        written = b"".join(self.recent)
+        done(Lifted(fd, written[len(written) - unsent :] + read, state, call))
+        return True
+
+    def resume(self, state: dict[str, Any], held: bytes) -> None:
+        """Before it has a transport: go on where another process left off."""
+        unsent = held[: int(state["unsent"])]
+        self._resumed_read = held[len(unsent) :]
+        self.old, self.last = bool(state["old"]), bool(state["last"])
+        self.chunked, self.asked = bool(state["chunked"]), bool(state["asked"])
+        self._resumed, self._resumed_close = unsent, bool(state["closing"])
+
+    def resume_answer(self, id: str, eased: Callable[[], None]) -> Call:
+        """The same for a long answer in the middle of its passage."""
+        call = Call(self, b"GET", b"/", [], Body(self.server.budget, lambda: None), 0, id, True, 0.0, True)
+        call.body.complete = True
+        self.current, self.eased = call, eased
+        self.taken = (0, self.server.loop.time())
+        return call
+
+    def _put(self, data: bytes) -> None:
+        """Write, and remember what the system has not taken."""
+        assert self.transport is not None
+        self.transport.write(data)
+        self.recent.append(data)
+        self.recent_bytes += len(data)
+        unsent = self.transport.get_write_buffer_size()
+        while self.recent and self.recent_bytes - len(self.recent[0]) >= unsent:
+            self.recent_bytes -= len(self.recent.popleft())
+
     # ---------------------------------------------------------------- parsing
 
     def data_received(self, data: bytes) -> None:
@@ -400,8 +475,11 @@
         self.heard = self.server.loop.time()
         if self.incoming is not None and self.headed:
             self.since = self.server.loop.time()
+        fresh, heads = not self.partial and self.incoming is None, not self.headed
+        self.begins = self.ends = 0
         try:
             self._parse(data)
+            self._follow_half(data, fresh, heads)
             if self.partial:
                 size = self.incoming.body.size if self.incoming is not None else 0
                 if self.raw > (EXTRA_BYTES + EXTRA_TIMES * size if self.headed else HEAD_BYTES):
@@ -422,6 +500,31 @@
                 self.server.halves[self] = None  # the last one again
             self._next()
 
+    def _follow_half(self, data: bytes, fresh: bool, heads: bool) -> None:
+        """Keep what another process would need to go on with a request that is not whole. The parser does not say
+        where in its bytes a message begins: where more than one is in what came, it can't be told."""
+        if not self.partial:
+            self.chunks = None
+            return
+        if fresh or self.ends:
+            self.chunks = None
+            self.half = bytearray(data) if fresh and self.begins == 1 and not self.ends else None
+        elif heads and self.half is not None:
+            self.half += data
+        call = self.incoming
+        if not self.headed or call is None:
+            return
+        if call.length is None and not call.asked:
+            try:
+                if self.chunks is not None:
+                    self.chunks.feed(data)
+                elif self.half:
+                    self.chunks = Chunks()
+                    self.chunks.feed(bytes(self.half))
+            except FramingError:
+                self.chunks = None
+        self.half = None  # from here on its parts are kept
+
     def _parse(self, data: bytes) -> None:
         while data:
             try:
@@ -438,6 +541,7 @@
     def on_message_begin(self) -> None:
         if self.offer:
             return
+        self.begins += 1
         self.partial = True
         if self.current is None and not self.waiting:
             self.server.quiet.pop(self, None)
@@ -507,6 +611,7 @@
     def on_message_complete(self) -> None:
         if self.offer:
             return  # so the parser says behind the head
+        self.ends += 1
         self.partial, self.asked, self.raw, self.expecting = False, True, 0, False
         call, self.incoming = self.incoming, None
         if call is None:
@@ -538,7 +643,7 @@
                 self._ask(incoming)  # it is too long to be held; its end follows
             elif self.expecting:
                 self.expecting = False
-                self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                self._put(b"HTTP/1.1 100 Continue\r\n\r\n")
         if self.transport is not None:
             if self.ending and self.incoming is None:
                 self.transport.close()
@@ -605,13 +710,13 @@
         if (self.last or self.server.closing or self.surplus) and not self.waiting:
             self.last = True
             lines.append("Connection: close")
-        self.transport.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        self._put("\r\n".join(lines).encode() + b"\r\n\r\n")
 
     def piece(self, call: Call, data: bytes) -> bool:
         """A piece of it; False where no more should come before `eased` is called."""
         if self.current is not call or self.transport is None or self.transport.is_closing():
             return True
-        self.transport.write(b"%x\r\n%b\r\n" % (len(data), data) if self.chunked else data)
+        self._put(b"%x\r\n%b\r\n" % (len(data), data) if self.chunked else data)
         return not self.choked
 
     def finish(self, call: Call) -> None:
@@ -622,7 +727,7 @@
         self.since = self.server.loop.time()
         call.body.release()
         if self.chunked:
-            self.transport.write(b"0\r\n\r\n")
+            self._put(b"0\r\n\r\n")
         if self.last and not self.waiting:
             self._end()
         else:
@@ -656,7 +761,7 @@
             head += f"Retry-After: {retry_after_ms / 1000.0:.3f}\r\n"
         if close:
             head += "Connection: close\r\n"
-        self.transport.write(head.encode() + b"\r\n" + body)
+        self._put(head.encode() + b"\r\n" + body)
         if close:
             self._end()
 
--- a/rosewheel/http/equipos.py
+++ b/rosewheel/http/equipos.py
@@ -5,12 +5,13 @@
 import asyncio
 import logging
 import math
+import os
 import re
 import select
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import cast
+from typing import Any, cast
 
 import httptools
 
@@ -18,6 +19,7 @@
 from rosewheel.decide.interface import Result, Server, ServerState
 from rosewheel.decide.settings import REPORTS
 from rosewheel.http.body import Body
+from rosewheel.http.framing import Chunks, FramingError
 from rosewheel.node.bounds import Bounds
 
 log = logging.getLogger("rosewheel.equipos")
@@ -38,6 +40,7 @@
 REST_SHARE = 0.5  # connections that have rested for this share of that time are not used again,
 REST_LEAST_S = 0.02  # but for no less than this,
 REST_FORGET_S = 20.0  # and each time this long passes without such a reset, twice as long
+SAME_START_MS = 1000.0  # two processes reckon a server's start from the list to within this
 SILENT_S = 0.5  # a server that says nothing at all for so long, while it owes an answer, may have vanished
 
 Report = dict[str, float]
@@ -91,6 +94,17 @@
     heard_s: float = 0.0  # when it last said anything on any connection
 
 
+@dataclass(slots=True, eq=False)
+class Lifted:
+    """A connection to a server taken off this process's loop, for another to go on with."""
+
+    fd: int
+    state: dict[str, Any]
+
+
+Lift = Callable[[Lifted | None], None]  # None: it ended meanwhile
+
+
 class Upstream:
     def __init__(
         self,
@@ -259,6 +273,72 @@
         else:
             exchange.done(Result.CONNECT_FAILED, None, b"")
 
+    # ------------------------------------------------------------------ moving
+
+    def lift_idle(self, done: Lift) -> bool:
+        """Take an idle connection off the loop, the latest used first; False where there is none."""
+        now = self.loop.time()
+        for pool in self.pools.values():
+            for conn in reversed(pool.idle):
+                if now - conn.idle_since <= SETTLE_S or now - conn.idle_since >= self.rest_s:
+                    continue
+                if self._open_to(pool.host) and conn.usable():
+                    pool.idle.remove(conn)
+                    conn.lift(done)
+                    return True
+        return False
+
+    def lift_passage(self, id: str, attempt: int, done: Lift) -> bool:
+        """The same of the connection on which a long answer comes, if its place in it can be told."""
+        exchange = self.live.get((id, attempt))
+        conn = exchange.conn if exchange is not None else None
+        if conn is None or not conn.movable:
+            return False
+        del self.live[id, attempt]
+        conn.lift(done)
+        return True
+
+    def wants(self, state: dict[str, Any]) -> bool:
+        """Whether an idle connection of another process is of use here."""
+        pool = self.pools.get(state["host"])
+        if pool is None or not self._open_to(pool.host) or list(pool.dial) != state["dial"]:
+            return False
+        theirs, ours = state["launched"], pool.launched_ms
+        if (theirs is None) is not (ours is None) or (ours and abs(theirs - ours) > SAME_START_MS):
+            return False
+        return float(state["rested_s"]) < min(self.rest_s, self.bounds.conn_idle_ms / 1000.0 * IDLE_SHARE)
+
+    async def adopt_idle(self, sock: socket.socket, state: dict[str, Any]) -> None:
+        pool = self.pools.get(state["host"])
+        conn = Connection(self, pool or _Pool(state["host"], tuple(state["dial"]), None, False))
+        await self.loop.connect_accepted_socket(lambda: conn, sock)
+        if pool is None or not self.wants(state) or not conn.usable():
+            conn.close()
+            return
+        conn.idle_since = self.loop.time() - state["rested_s"]
+        pool.idle.append(conn)
+        pool.idle.sort(key=lambda one: one.idle_since)
+
+    def adopt_passage(self, id: str, state: dict[str, Any], sink: Sink) -> Connection:
+        """An answer in mid-passage goes on from here, as attempt 0 of its request; `join` follows."""
+
+        def done(result: Result, report: Report | None, body: bytes) -> None:
+            self.live.pop((id, 0), None)
+            self.ended(id, 0, result, report, body)
+
+        # Its own pool: the list may no longer name the server, and the connection is not used again.
+        conn = Connection(self, _Pool(state["host"], tuple(state["dial"]), None, False))
+        exchange = _Exchange(b"", done, self.loop.time(), sent=True)
+        conn.resume(exchange, state, sink)
+        self.live[id, 0] = exchange
+        return conn
+
+    async def join(self, conn: Connection, sock: socket.socket) -> None:
+        """Give an adopted connection its socket."""
+        await self.loop.connect_accepted_socket(lambda: conn, sock)
+        if conn.exchange is None:  # given up meanwhile
+            conn.close()
+
     def stale(self, rested_s: float) -> None:
         """A connection that had rested for so long was of no use, and only the request found out. Guards what
         must not be repeated. Harm: more new connections than there need be, until that is forgotten."""
@@ -337,10 +417,14 @@
         self.sent_s = self.rested_s = 0.0  # when it last got a request, and how long it had rested then
         self.counted = self.choked = self.paused = False
         self.overdue: asyncio.TimerHandle | None = None
+        self.lifted: Lift | None = None  # it is being taken off the loop
+        self.resuming = False
         self._fresh()
 
     def _fresh(self) -> None:
         self.head_bytes = 0
+        self.begun_with = bytearray()  # the answer's first bytes, up to the end of its head
+        self.chunks: Chunks | None = None  # where a long answer in chunks stands; else it can't be moved
         self._next_head()
 
     def _next_head(self) -> None:
@@ -434,13 +518,13 @@
 
     # ------------------------------------------------------------ what arrives
 
-    def _hold(self) -> None:
+    def hold(self) -> None:
         """Backpressure: the caller takes the answer more slowly than the server gives it."""
         if not self.paused and self.transport is not None and not self.transport.is_closing():
             self.paused = True
             self.transport.pause_reading()
 
-    def _resume(self) -> None:
+    def ease(self) -> None:
         if self.paused:
             self.paused = False
             self.heard_s = self.owner.loop.time()
@@ -454,7 +538,7 @@
             return
         if not self.headed:
             self.head_bytes += len(data)
-        surplus = False
+        surplus, heads = False, not self.headed
         try:
             self.parser.feed_data(data)
             if not self.headed and self.head_bytes > HEAD_BYTES:
@@ -464,6 +548,8 @@
                 self._spoilt(error)
                 return
             surplus = True  # the answer is whole; what stands behind it is nobody's, and ends the connection
+        if not self.complete:
+            self._follow(data, heads)
         if self.complete:
             # Guards the next attempt: an answer that came before the whole request leaves a rest on its way.
             early = self.transport is None or self.transport.get_write_buffer_size() > 0
@@ -471,6 +557,89 @@
         elif self.overdue is None:
             self.overdue = self.owner.loop.call_later(PARTIAL_S, self._overdue)
 
+    def _follow(self, data: bytes, heads: bool) -> None:
+        """Keep track of where an answer in chunks stands, in case it has to go on in another process."""
+        if heads:
+            self.begun_with += data
+            if not self.headed:
+                return
+            data, self.begun_with = bytes(self.begun_with), bytearray()
+            if self.framed and self.length is None:
+                self.chunks = Chunks()
+        if self.chunks is not None:
+            try:
+                self.chunks.feed(data)
+            except FramingError as error:
+                log.debug("%s: %s", self.dial, error)
+                self.chunks = None
+
+    # ----------------------------------------------------------------- moving
+
+    @property
+    def movable(self) -> bool:
+        """Whether another process could go on with the long answer that comes here."""
+        if self.transport is None or self.transport.is_closing() or self.lifted is not None:
+            return False
+        if self.sink is None or self.complete or self.exchange is None or not self.exchange.sent:
+            return False
+        return self.length is not None or not self.framed or (self.chunks is not None and self.chunks.midway)
+
+    def lift(self, done: Lift) -> None:
+        """Take it off the loop; nothing is read from here on. `done` gets it once the loop lets go of it."""
+        assert self.transport is not None
+        self.lifted = done
+        self.transport.abort()
+
+    def _hand(self, exc: Exception | None) -> None:
+        done, self.lifted = self.lifted, None
+        assert done is not None
+        assert self.transport is not None
+        transport, self.transport = self.transport, None
+        state = {
+            "host": self.pool.host,
+            "dial": list(self.dial),
+            "launched": self.pool.launched_ms,
+            "rested_s": self.owner.loop.time() - self.idle_since,
+            "size": self.size,
+            "left": None if self.length is None else self.length - self.size,
+            "chunks": self.chunks.resume().decode("latin-1") if self.chunks is not None else None,
+            "report": self.report,
+        }
+        self.forget()
+        if self.overdue is not None:
+            self.overdue.cancel()
+            self.overdue = None
+        del self.parser
+        try:
+            if exc is not None:
+                raise OSError("it ended")
+            fd = os.dup(transport.get_extra_info("socket").fileno())
+        except OSError:
+            done(None)
+            return
+        done(Lifted(fd, state))
+
+    def resume(self, exchange: _Exchange, state: dict[str, Any], sink: Sink) -> None:
+        """Before it has a transport: stand where another process stood in the answer."""
+        self._fresh()
+        head = b"HTTP/1.1 200 OK\r\nConnection: close\r\n"
+        if state["left"] is not None:
+            head += b"Content-Length: %d\r\n" % int(state["left"])
+        elif state["chunks"] is not None:
+            head += b"Transfer-Encoding: chunked\r\n"
+        start = head + b"\r\n" + (state["chunks"] or "").encode("latin-1")
+        self.resuming = True  # nothing of what the parser finds in it is the answer's
+        self.parser.feed_data(start)
+        self.resuming = False
+        self._follow(start, heads=True)
+        self.head_bytes, self.size, self.sink = 1, int(state["size"]), sink
+        if self.length is not None:
+            self.length += self.size  # of the whole answer, as where it began
+        self.report = state["report"]
+        self.exchange, exchange.conn = exchange, self
+        self.heard_s = self.owner.loop.time()
+        self.overdue = self.owner.loop.call_later(PARTIAL_S, self._overdue)
+
     def _spoilt(self, why: Exception | str) -> None:
         """It has run, and its answer is none."""
         self.owner.spoilt += 1
@@ -514,16 +683,18 @@
         # An interim answer is no answer yet: what follows counts as one head with it.
         status = self.parser.get_status_code()
         self.headed = status >= 200
-        if status == 200 and self.length is not None and self.length > BEGIN_BYTES:
+        if status == 200 and self.length is not None and self.length > BEGIN_BYTES and not self.resuming:
             self._begin()
 
     def on_body(self, data: bytes) -> None:
+        if self.resuming:
+            return
         self.size += len(data)
         if self.size > BODY_BYTES:
             raise SpoiltError("an answer without end")
         if self.sink is not None:
             if not self.sink(data):
-                self._hold()
+                self.hold()
         elif self.exchange is not None and self.parser.get_status_code() == 200:  # others are not passed on
             self.body += data
             if self.size > BEGIN_BYTES:
@@ -536,12 +707,12 @@
             raise SpoiltError("a long answer that nobody asked for")
         if not exchange.sent:
             raise SpoiltError("an answer to half a request")
-        sink = exchange.begin(self.length, self._resume)
+        sink = exchange.begin(self.length, self.ease)
         if sink is None:
             raise SpoiltError("an answer that came too late")
         self.sink, body, self.body = sink, bytes(self.body), bytearray()
         if body and not sink(body):
-            self._hold()
+            self.hold()
 
     def on_message_begin(self) -> None:
         if self.complete:
@@ -562,6 +733,9 @@
         if self.counted:
             self.counted = False
             self.owner.opened -= 1
+        if self.lifted is not None:
+            self._hand(exc)
+            return
         self._leave_pool()
         self.transport = None
         now = self.owner.loop.time()
@@ -598,7 +772,7 @@
             self.close()
         if exchange is None:
             return
-        self._resume()
+        self.ease()
         if keep:  # before the outcome is told: what follows from it may use the connection at once
             self.owner.release(self)
         whole = result is Result.OK
--- a/rosewheel/lab/run.py
+++ b/rosewheel/lab/run.py
@@ -8,8 +8,10 @@
 import os
 import signal
 import socket
+import statistics
 import sys
 import time
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -76,7 +78,7 @@
                 for step in self.plan.steps
                 if self.plan.scenario.troubles[step.trouble].kind.startswith("node-")
             ]
-            flush = loop.create_task(self._flush(with_load))
+            flush = loop.create_task(self._flush(with_load, t0))
             try:
                 await self.load.run(t0)
             finally:
@@ -151,12 +153,21 @@
         said = (self.folder / "emulator.log").read_text(errors="replace").strip().rpartition("\n")[2]
         raise RunError(f"the emulator did not start: {said or 'it said nothing'}")
 
-    async def _flush(self, records: Writer) -> None:
+    async def _flush(self, records: Writer, t0: float) -> None:
         while True:
             await asyncio.sleep(0.5)
+            self._weigh(now_ms() - t0)
             records.flush()
             self.records.flush()
 
+    def _weigh(self, t_ms: float) -> None:
+        """Memory and descriptors of each process of the front's nodes."""
+        for node in (*self.nodes.values(), *self._old):
+            memory, held = node_memory(node), node_descriptors(node)
+            if memory and held:
+                row = {"e": "process", "t": round(t_ms, 1), "node": node.name, "pid": node.process.pid}
+                self.records.write({**row, "memory_mb": round(memory, 2), "descriptors": held})
+
     # --------------------------------------------------------------- troubles
 
     def _step(self, step: Step, t0: float) -> None:
@@ -274,12 +285,36 @@
                 "lag_max_ms": own.get("lag_max_ms"),
                 "clients_lag_max_ms": round(self.load.lag_max_ms, 2),
             },
-            "nodes": {"cores": round(self.cpu_s / elapsed, 3), "memory_mb": round(memory_mb, 1)},
+            "nodes": {
+                "cores": round(self.cpu_s / elapsed, 3),
+                "memory_mb": round(memory_mb, 1),
+                "quarters": self._quarters(),
+            },
             "wall_s": round(wall_s, 1),
         }
         (self.folder / "summary.json").write_bytes(msgspec.json.encode(summary))
         return summary
 
+    def _quarters(self) -> list[dict[str, float]]:
+        """Of each quarter of the run: the median over the processes of the front's nodes, every half second, of
+        memory and descriptors, and how many processes there were at most at one time."""
+        length = self.plan.scenario.seconds * 1000.0 / 4.0
+        rows = [row for row in read(self.folder / "run.jsonl") if row.get("e") == "process"]
+        quarters: list[dict[str, float]] = []
+        for at in range(4):
+            mine = [row for row in rows if at * length <= row["t"] < (at + 1) * length]
+            if not mine:
+                continue
+            counts = Counter(row["t"] for row in mine)
+            quarters.append(
+                {
+                    "memory_mb": statistics.median(row["memory_mb"] for row in mine),
+                    "descriptors": statistics.median(row["descriptors"] for row in mine),
+                    "processes": max(counts.values()),
+                }
+            )
+        return quarters
+
     def _after_restarts(self) -> float | None:
         """Service in the 10 s after each node that started again; None where none did."""
         assert self.load is not None
@@ -312,6 +347,14 @@
     return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
 
 
+def node_descriptors(node: NodeProcess) -> int:
+    """Those that it holds; 0 once it has ended."""
+    try:
+        return len(os.listdir(f"/proc/{node.process.pid}/fd"))
+    except OSError:
+        return 0
+
+
 def interrupt_to_cancel(task: asyncio.Task[Any]) -> None:
     """SIGINT and SIGTERM cancel the task, so that everything it started is ended in order."""
     loop = asyncio.get_running_loop()
--- a/rosewheel/node/core.py
+++ b/rosewheel/node/core.py
@@ -16,7 +16,9 @@
     Action,
     Alarm,
     Arrived,
+    Beside,
     Cancel,
+    Company,
     Cordon,
     Event,
     Fail,
@@ -200,6 +202,36 @@
         entry.begun, entry.attempts[attempt].began_ms = attempt, now
         return self._run(now, Started(id, attempt))
 
+    def handed(self, now: float, id: str) -> list[Effect]:
+        """Another process of this node goes on with the long answer of this request: for this one it is over, and
+        its server has done its work. Counted there, where it ends."""
+        entry = self.open.get(id)
+        if entry is None or entry.over or entry.begun is None:
+            return []
+        item = entry.attempts[entry.begun]
+        item.result = Result.OK
+        latency = (now if item.began_ms is None else item.began_ms) - item.sent_ms
+        self._queue.append(Outcome(id, entry.begun, item.server, Result.OK, latency, True))
+        self._finish(id, entry)
+        return self._run(now)
+
+    def adopt(self, now: float, id: str, service: str, server: str) -> bool:
+        """The other side of it: from here on this is attempt 0 of that request, which the module never hears of.
+        False where it can't be: the id is open here already, or there is no such class."""
+        if id in self.open or service not in self.classes:
+            return False
+        attempt = _Attempt(server, now, began_ms=now)
+        self.open[id] = _Open(service, now, attempts=[attempt], begun=0)
+        self._unanswered += 1
+        return True
+
+    def passing(self, id: str) -> tuple[str, str, int] | None:
+        """Class, server and attempt of the long answer that is being passed on for this request."""
+        entry = self.open.get(id)
+        if entry is None or entry.over or entry.begun is None:
+            return None
+        return entry.service, entry.attempts[entry.begun].server, entry.begun
+
     def client_gone(self, now: float, id: str) -> list[Effect]:
         entry = self.open.get(id)
         if entry is None or entry.over:
@@ -250,6 +282,19 @@
         """What an earlier process of this node had learned; returns how many of the servers it knew."""
         return self.balancer.recall(now, learned, age_ms)
 
+    @property
+    def loads(self) -> dict[str, float]:
+        """Calls in flight from here, by weight, at each server that has any."""
+        return self.balancer.loads()
+
+    def beside(self, now: float, loads: dict[str, float]) -> list[Effect]:
+        """The same of another process of this node."""
+        return self._run(now, Beside(loads))
+
+    def company(self, now: float, processes: int) -> list[Effect]:
+        """So many processes of this node decide just now, this one included."""
+        return self._run(now, Company(processes))
+
     def moved(self, now: float) -> list[Effect]:
         """Discovery has another address from now on."""
         return self._run(now, Moved())
--- a/rosewheel/ops/door.py
+++ b/rosewheel/ops/door.py
@@ -130,6 +130,11 @@
     async def start(self, sock: socket.socket) -> None:
         self._listener = await self.loop.create_server(lambda: _Caller(self), sock=sock, backlog=BACKLOG)
 
+    @property
+    def listening_socket(self) -> socket.socket | None:
+        """For another process to accept from as well."""
+        return self._listener.sockets[0] if self._listener is not None else None
+
     @property
     def port(self) -> int:
         assert self._listener is not None
--- a/rosewheel/relay/relay.py
+++ b/rosewheel/relay/relay.py
@@ -10,6 +10,7 @@
 import math
 import random
 import re
+import socket
 import time
 from collections.abc import Callable
 from typing import Any
@@ -18,8 +19,12 @@
 from rosewheel.decide.interface import ListForm, Request, Result
 from rosewheel.decide.learned import Learned
 from rosewheel.discovery.catalog import Discovery, Entry, entries_from
+from rosewheel.handover.moves import Moves
+from rosewheel.handover.offers import WINDOW
+from rosewheel.handover.service import Handover
 from rosewheel.http.body import Budget
-from rosewheel.http.callers import BadRequestError, Call, Server
+from rosewheel.http.call import BadRequestError, Call
+from rosewheel.http.callers import Server
 from rosewheel.http.equipos import Sink, Upstream
 from rosewheel.listener import bind, open_listener
 from rosewheel.node.core import (
@@ -71,6 +76,8 @@
         self.loop = asyncio.get_running_loop()
         self.most = 0
         self.processes = 1  # of this node, while one takes over from another
+        self.theirs: int | None = None  # descriptors that an old process still holds, which gives them up
+        self.taking_over = config.inherited is not None  # callers come by a socket that another has too
         self.state = State(config.state, self._shared, self._company, config.inherited is not None)
         self.node = Node(config.settings, config.bounds, config.seed, now_ms())
         self.upstream = Upstream(
@@ -87,11 +94,13 @@
         )
         self.admin = Admin(self)
         self.snapshots = Snapshots(config.state, config.name, self._learned)
+        self.random = random.Random(config.seed)
+        self.moves = Moves(self)
+        self.handover = Handover(config.state, config.name, self.moves)
         self._told = asyncio.Event()  # discovery has said something
         since = config.known.get("seq")
         self.discovery = Discovery(config.discovery, since if isinstance(since, int) else 0, self._heard)
         self.calls: dict[str, Call] = {}
-        self.random = random.Random(config.seed)
         self.unheard = 0  # watches that ended since one last had something to tell
         self.longest_ms = 0.0  # of the requests so far, how long a caller waits at most
         self._share(config.bounds.sockets)
@@ -103,19 +112,38 @@
         """Listen, and begin with the list as last known: calls can be served before discovery answers.
         Where another process serves meanwhile, callers are taken once discovery has answered."""
         # First, so that a bad address ends the node before it has asked anything.
-        sock = open_listener(self.config.listen, self.config.inherited)
+        inherited, door = self.config.inherited, None
+        if self.handover.greet() and inherited is None:
+            inherited, door = await self._borrow()
+        sock = open_listener(self.config.listen, inherited)
         self.state.start()  # before anything can be sent: what is out by hand stays out
         if self.config.ops is not None:
-            await self.admin.start(bind(self.config.ops, "LB_OPS"))
+            await self.admin.start(door or bind(self.config.ops, "LB_OPS"))
         self._heard(ListForm.CACHED, entries_from(self.config.known.get("hosts")))
         self._recall()
         if not self.config.settings.ask_discovery:
             self.discovery.watch()
-        if self.config.inherited is not None:
+        if self.taking_over:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(FIRST_LIST_S):
                     await self._told.wait()
         await self.server.start(sock)
+        self.handover.serve()
+
+    async def _borrow(self) -> tuple[int | None, socket.socket | None]:
+        """Where this process binds its sockets itself and another one of this node is there: that one's listening
+        socket, and that of its door, as far as they are those that are wanted."""
+        wanted = (self.config.listen, self.config.ops)
+        lent = [socket.socket(fileno=fd) for fd in await self.handover.borrow()]
+        found: list[socket.socket | None] = [None, None]
+        for sock in lent:
+            at = wanted.index(address) if (address := sock.getsockname()[:2]) in wanted else -1
+            if at < 0:
+                sock.close()
+            else:
+                found[at] = sock
+        self.taking_over = found[0] is not None
+        return None if found[0] is None else found[0].detach(), found[1]
 
     def _recall(self) -> None:
         """Begin with what an earlier process of this node had learned, as far as its age allows."""
@@ -142,14 +170,16 @@
         if not moved or self.stopped:
             return
         self.discovery.move(config.discovery)
-        self._apply(self.node.moved(now_ms()))
+        self.apply(self.node.moved(now_ms()))
         if not self.config.settings.ask_discovery:
             self.discovery.watch()
 
     async def drain(self) -> None:
         self.snapshots.close()  # a process that follows writes its own from now on
-        await self.server.drain(handover=self.config.inherited is not None)
+        given = self.handover.leave()
+        await self.server.drain(handover=self.taking_over or given, give=self._give if given else None)
         self.stopped = True
+        self.handover.close()
         self.admin.close()
         self.state.close()
         self.discovery.close()
@@ -157,8 +187,48 @@
         if self._timer is not None:
             self._timer.cancel()
 
+    def _give(self) -> bool:
+        """Hand over what can be by now; whether that goes on."""
+        going = self.handover.give()
+        return self.moves.busy or (going and (bool(self.server.callers) or not self.handover.done))
+
+    # -------------------------------------------------- another process of the node
+
+    @property
+    def descriptors(self) -> int:
+        """Those of callers and servers."""
+        return len(self.server.callers) + self.upstream.descriptors
+
+    def room_for(self, count: int, idle: bool) -> bool:
+        """Whether this process may hold so many more; an idle connection to a server makes no other one give way."""
+        if len(self.server.callers) >= self.server.most and not idle:
+            return False
+        return self.descriptors + self.moves.under_way + count <= self.most or (
+            not idle and self._make_room()
+        )
+
+    def beside_holds(self, held: object) -> None:
+        """An old process gives up what it has: what it no longer holds is this one's to use."""
+        if isinstance(held, int) and held >= 0:
+            self.theirs = held
+            self._share(self.config.bounds.sockets)
+
+    def beside_leaves(self, held: object) -> None:
+        """It takes nothing new from now on, so this one paces servers by itself."""
+        self.beside_holds(held)
+        self.apply(self.node.company(now_ms(), 1))
+
+    def beside(self, loads: object) -> None:
+        """What the other process has in flight, by server."""
+        if isinstance(loads, dict):
+            good = {name: float(load) for name, load in loads.items() if isinstance(load, int | float)}
+            self.apply(self.node.beside(now_ms(), good))
+
     def _share(self, sockets: int) -> None:
-        sockets //= self.processes
+        half = sockets // self.processes
+        if self.processes > 1 and self.theirs is not None:
+            half = max(half, sockets - self.theirs - 2 * WINDOW)
+        sockets = half
         self.budget.most = int(self.config.bounds.memory_mb / self.processes * BODIES_PART) << 20
         spare = min(SPARE, max(24, sockets // SPARE_PART))
         if self.config.ops is not None:
@@ -169,7 +239,7 @@
 
     def _make_room(self) -> bool:
         """Room for the descriptor that has come or is about to, if need be that of an idle connection."""
-        if len(self.server.callers) + self.upstream.descriptors < self.most:
+        if self.descriptors < self.most:
             return True
         # Callers first: they connect again at no cost, while a new connection costs a server work.
         return self.server.close_idle() or self.upstream.close_idle()
@@ -200,7 +270,7 @@
         if out is not (member in self.node.cordoned):
             log.info("%s %s", member, "is taken out by hand" if out else "may serve again")
         self.upstream.cordon(member, out)
-        self._apply(self.node.cordon(now_ms(), member, out))
+        self.apply(self.node.cordon(now_ms(), member, out))
 
     def _shared(self, cordoned: frozenset[str]) -> None:
         """What another process of this node, or the one before it, has been told."""
@@ -212,8 +282,11 @@
     def _company(self, processes: int) -> None:
         """While an old and a new process of one node overlap, they share its descriptors."""
         self.processes = processes
+        if processes == 1:
+            self.theirs = None
+        self.apply(self.node.company(now_ms(), processes))
         self._share(self.config.bounds.sockets)
-        while len(self.server.callers) + self.upstream.descriptors > self.most:
+        while self.descriptors > self.most:
             if not (self.server.close_idle() or self.upstream.close_idle()):
                 break
 
@@ -227,7 +300,7 @@
         except HeldAlreadyError as error:
             raise BadRequestError(409, "this Request-Id is being served already") from error
         self.calls[request.id] = call
-        self._apply(effects)
+        self.apply(effects)
 
     def _request(self, call: Call) -> Request:
         if call.method not in METHODS:
@@ -269,7 +342,7 @@
     def _arrived(self, call: Call) -> None:
         if self.calls.get(call.id) is call:
             now = now_ms()
-            self._apply(self.node.arrived(now, call.id, now + self._wait_ms(call.patience_ms)))
+            self.apply(self.node.arrived(now, call.id, now + self._wait_ms(call.patience_ms)))
 
     def _began(self, id: str, attempt: int, length: int | None, eased: Callable[[], None]) -> Sink | None:
         call = self.calls.get(id)
@@ -277,13 +350,13 @@
         if call is None or effects is None:
             return None
         call.caller.begin(call, length, eased)
-        self._apply(effects)
+        self.apply(effects)
         return functools.partial(call.caller.piece, call)
 
     def _gone(self, call: Call) -> None:
         if self.calls.get(call.id) is call:
             del self.calls[call.id]
-            self._apply(self.node.client_gone(now_ms(), call.id))
+            self.apply(self.node.client_gone(now_ms(), call.id))
 
     def _ended(
         self, id: str, attempt: int, result: Result, report: dict[str, float] | None, body: bytes
@@ -291,17 +364,17 @@
         call = self.calls.get(id)
         if call is not None and not call.body.resendable:
             self.node.spent(id)
-        self._apply(self.node.ended(now_ms(), id, attempt, result, report, body))
+        self.apply(self.node.ended(now_ms(), id, attempt, result, report, body))
 
     def _probed(
         self, server: str, result: Result, latency_ms: float, report: dict[str, float] | None
     ) -> None:
-        self._apply(self.node.probed(now_ms(), server, result, latency_ms, report))
+        self.apply(self.node.probed(now_ms(), server, result, latency_ms, report))
 
     def _heard(self, form: ListForm, entries: list[Entry]) -> None:
         if form is ListForm.FAILED:
             if self.config.settings.ask_discovery:
-                self._apply(self.node.members(now_ms(), form))
+                self.apply(self.node.members(now_ms(), form))
             else:
                 wait = min(REWATCH_MAX_S, REWATCH_S * 2.0**self.unheard)
                 self.unheard = min(8, self.unheard + 1)
@@ -313,7 +386,7 @@
             self.unheard = 0
         self.upstream.update(entries, whole=form is not ListForm.DELTA)
         servers = tuple(server for server, _ in entries)
-        self._apply(self.node.members(now_ms(), form, servers))
+        self.apply(self.node.members(now_ms(), form, servers))
 
     def _rewatch(self) -> None:
         if not self.discovery.open and not self.stopped:  # a move may have been quicker
@@ -321,11 +394,11 @@
 
     def _tick(self) -> None:
         self._timer = None
-        self._apply(self.node.tick(now_ms()))
+        self.apply(self.node.tick(now_ms()))
 
     # ----------------------------------------------------------------- effects
 
-    def _apply(self, effects: list[Effect]) -> None:
+    def apply(self, effects: list[Effect]) -> None:
         for effect in effects:
             try:
                 self._carry_out(effect)
--- a/rosewheel/relay/state.py
+++ b/rosewheel/relay/state.py
@@ -62,6 +62,12 @@
         else:
             self._catch_up()
 
+    def follow_now(self) -> None:
+        """Another process is there after all."""
+        if not self.follow and self.folder is not None:
+            self.follow = True
+            self._poll()
+
     def close(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/tests/test_learned.py
+++ b/tests/test_learned.py
@@ -283,3 +283,34 @@
 def test_recalling_is_a_part_of_the_module_that_reads_no_clock():
     one = Balancer(settings(), seed=1, now_ms=0.0)
     assert one.recall(10.0, Learned(), 5.0) == 0
+
+
+# ------------------------------------------------------------------ two processes
+
+
+def test_the_credit_for_cold_servers_is_shared_out_between_two_processes():
+    """Both together may send a cold server no more than the one process could before the other came."""
+    bed = Bed(4)
+    for peer in bed.balancer.peers.values():
+        peer.credit = 1.6
+    bed.give(api.Company(2))
+    assert [peer.credit for peer in bed.balancer.peers.values()] == [0.8] * 4
+    bed.give(api.Company(2))
+    bed.give(api.Company(1))
+    assert [peer.credit for peer in bed.balancer.peers.values()] == [0.8] * 4, "none comes from nothing"
+
+
+def test_what_the_other_process_has_in_flight_counts_once():
+    """It ranks a server down as one's own calls do, and no more where the server's own report has it in it."""
+    bed = Bed(2)
+    bed.give(api.Beside({"s0": 6.0}))
+    assert {bed.serve() for _ in range(4)} == {"s1"}
+    first, second = bed.balancer.peers["s0"], bed.balancer.peers["s1"]
+    first.slow = second.slow = None
+    first.load = second.load = 0.0
+    second.queue, second.told_ms = 6.0, bed.now
+    first.queue, first.told_ms = 6.0, bed.now
+    ratio = bed.balancer._rank(bed.now, first) / bed.balancer._rank(bed.now, second)
+    assert 0.8 < ratio < 1.25
+    bed.give(api.Beside({}))
+    assert first.beside == 0.0
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -698,7 +698,7 @@
                 await until(lambda: relay.node.balancer.watch_due)
                 relay.reload(moved_to(relay, new))
                 await until(lambda: bool(new.writers))
-                relay._apply(relay.node.tick(relay.node._timers[-1][0] + 5000.0))
+                relay.apply(relay.node.tick(relay.node._timers[-1][0] + 5000.0))
                 new.tell(6, entry("s", 1), whole=True)
                 await until(lambda: relay.node.can_serve)
                 assert (len(old.asked), len(new.asked)) == (1, 1)
