Callers and equipos split by concern; the lab kills processes in mid-upgrade

A caller's connection is http/caller.py, who is connected and how all of it ends http/callers.py; a connection to an equipo is http/connection.py, pools and attempts http/equipos.py. Nothing but places changed.

--- a/rosewheel/handover/moves.py
+++ b/rosewheel/handover/moves.py
@@ -12,8 +12,9 @@
 from typing import TYPE_CHECKING, Any
 
 from rosewheel.handover.link import drop
-from rosewheel.http import callers, equipos
-from rosewheel.http.callers import Caller
+from rosewheel.http import caller as callers
+from rosewheel.http import connection as equipos
+from rosewheel.http.caller import Caller
 
 if TYPE_CHECKING:
     from rosewheel.relay.relay import Relay
--- a/rosewheel/http/call.py
+++ b/rosewheel/http/call.py
@@ -9,7 +9,7 @@
 from rosewheel.http.body import Body
 
 if TYPE_CHECKING:
-    from rosewheel.http.callers import Caller
+    from rosewheel.http.caller import Caller
 
 # What may stand in a request once only: two of them are two opinions on what it is.
 SINGLE_HEADERS = frozenset(
--- a/rosewheel/lab/run.py
+++ b/rosewheel/lab/run.py
@@ -176,7 +176,11 @@
         if step.what == "begin":
             self.records.write({"e": trouble.kind, "t": round(now_ms() - t0, 1), "node": name})
             crash = trouble.kind == "node-crash"
-            work = self._crash(name, self._length_s(step), t0) if crash else self._upgrade(name, t0)
+            work = (
+                self._crash(name, self._length_s(step), t0)
+                if crash
+                else self._upgrade(name, step.trouble, t0)
+            )
             if crash:
                 self.records.write({"e": "killed", "t": round(now_ms() - t0, 1), "node": name})
             task = asyncio.get_running_loop().create_task(work)
@@ -208,11 +212,18 @@
     def _back(self, name: str, t0: float) -> None:
         self.records.write({"e": "back", "t": round(now_ms() - t0, 1), "node": name})
 
-    async def _upgrade(self, name: str, t0: float) -> None:
-        """A new process beside the old one; SIGTERM to the old one once the new one says yes."""
-        old = self.nodes[name]
+    async def _upgrade(self, name: str, trouble: int, t0: float) -> None:
+        """A new process beside the old one; SIGTERM to the old one once the new one says yes. Where the scenario
+        wants it one of them is killed on the way."""
+        row, old = self.plan.scenario.troubles[trouble], self.nodes[name]
+        low, high = row.kill_ms if isinstance(row.kill_ms, tuple) else (row.kill_ms, row.kill_ms)
+        after_s = float(stream(self.plan.seed, "trouble", trouble, "kill").uniform(low, high)) / 1000.0
         self._forget(old)
         new = self._node(name)
+        if row.kills == "starting":
+            await asyncio.sleep(after_s)
+            self._kill(new, t0)
+            return
         self.nodes[name] = new
         self._old.append(old)
         deadline = asyncio.get_running_loop().time() + UPGRADE_YES_S
@@ -221,9 +232,18 @@
         self._back(name, t0)
         self.cpu_s += old.cpu_s()
         old.terminate()
+        if row.kills:
+            await asyncio.sleep(after_s)
+            self._kill(old if row.kills == "old" else new, t0)
+        if row.kills == "new":
+            self._old.append(new)
+            self.nodes[name] = self._node(name)
         if not await old.ended(UPGRADE_KILL_S):
-            self.records.write({"e": "killed", "t": round(now_ms() - t0, 1), "node": name})
-            old.kill()
+            self._kill(old, t0)
+
+    def _kill(self, node: NodeProcess, t0: float) -> None:
+        self.records.write({"e": "killed", "t": round(now_ms() - t0, 1), "node": node.name})
+        node.kill()
 
     # -------------------------------------------------------------------- end
 
--- a/rosewheel/lab/scenario.py
+++ b/rosewheel/lab/scenario.py
@@ -216,9 +216,15 @@
     how: FAULTS = "reset"
     delay_ms: Natural = 500.0  # faults: of `delay`
     node: Annotated[int, Meta(ge=0)] = 0  # node-crash, node-upgrade: which of the front's
+    # node-upgrade: which process is killed outright in the middle of it. `starting`: the new one, before the old one
+    # is told to stop; `new`, `old`: after that. A process that is killed last of its node is started again.
+    kills: Literal["", "starting", "new", "old"] = ""
+    kill_ms: Range = 0.0  # how long after the new one was started, or the old one told to stop
 
     def __post_init__(self) -> None:
-        self._ordered("for_s", "size", "on_s", "drain_s", "boot_s")
+        self._ordered("for_s", "size", "on_s", "drain_s", "boot_s", "kill_ms")
+        if self.kills and self.kind != "node-upgrade":
+            raise KeyedError("kills", f"no process is killed by a trouble of kind {self.kind}")
         if self.kind in NEEDS_SIZE and self.size == 0.0:
             raise KeyedError("size", f"a trouble of kind {self.kind} needs one above zero")
         if self.kind == "neighbour" and _top(self.size) >= 1.0:
--- a/rosewheel/relay/relay.py
+++ b/rosewheel/relay/relay.py
@@ -25,7 +25,8 @@
 from rosewheel.http.body import Budget
 from rosewheel.http.call import BadRequestError, Call
 from rosewheel.http.callers import Server
-from rosewheel.http.equipos import Sink, Upstream
+from rosewheel.http.connection import Sink
+from rosewheel.http.equipos import Upstream
 from rosewheel.listener import bind, open_listener
 from rosewheel.node.core import (
     SERVED,
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -11,7 +11,8 @@
 from sockets import Client, FakeServer, answer, entry, node, read_message, run, status, until
 
 from rosewheel.http import body as body_module
-from rosewheel.http import callers as server_module
+from rosewheel.http import caller as server_module
+from rosewheel.http import connection as connection_module
 from rosewheel.http import equipos as upstream_module
 
 Connected = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -329,8 +330,8 @@
 
 
 def test_a_server_that_stalls_in_a_long_answer_is_given_up_in_the_end(monkeypatch: pytest.MonkeyPatch):
-    monkeypatch.setattr(upstream_module, "STALL_S", 0.2)
-    monkeypatch.setattr(upstream_module, "PARTIAL_S", 0.1)
+    monkeypatch.setattr(connection_module, "STALL_S", 0.2)
+    monkeypatch.setattr(connection_module, "PARTIAL_S", 0.1)
 
     async def giving(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
@@ -458,7 +459,7 @@
 
 def test_a_server_that_reads_nothing_of_a_body_is_given_up(monkeypatch: pytest.MonkeyPatch):
     """Guards callers: before the last byte no deadline runs, so nothing else would end this."""
-    monkeypatch.setattr(upstream_module, "WRITE_STALL_S", 0.2)
+    monkeypatch.setattr(connection_module, "WRITE_STALL_S", 0.2)
     monkeypatch.setattr(upstream_module, "SWEEP_S", 0.05)
 
     async def ignoring(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -28,7 +28,7 @@
 
 from rosewheel.config.platform import Config
 from rosewheel.decide import interface as api
-from rosewheel.http.equipos import report_from
+from rosewheel.http.connection import report_from
 from rosewheel.node.bounds import Bounds
 from rosewheel.relay.relay import Relay
 
@@ -228,7 +228,7 @@
 @pytest.mark.usefixtures("no_rest")
 def test_a_node_learns_that_idle_connections_go_stale_early(monkeypatch: pytest.MonkeyPatch):
     """Guards unsafe requests where connections are forgotten without a word: one is lost, not each time."""
-    monkeypatch.setattr("rosewheel.http.equipos.STALE_S", 1.0)  # a busy machine may be late to say
+    monkeypatch.setattr("rosewheel.http.connection.STALE_S", 1.0)  # a busy machine may be late to say
 
     async def main() -> None:
         seen: dict[int, float] = {}
