The lab excuses a keyed repeat that the client itself sent once more

Played with processes killed in mid-upgrade, the ledger called a keyed request astray whose client had sent it again on a new connection, after its node was killed with it: what no node can have kept together. For unsafe requests that was excused already; now for keyed ones too.

--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -193,6 +193,11 @@
         ([], [job("a/1.0", "x"), job("a/1.0", "x")], {"twice": ["a/1.0"]}),
         ([], [job("k", "r", "comentario", cell=0), job("k", "r", "comentario", cell=1)], {"strayed": ["r"]}),
         ([], [job("k", "r", "comentario", cell=1), job("k", "r", "comentario", cell=1)], {}),
+        (
+            [op("k", 200, resent=True)],
+            [job("k", "k.0", "comentario", cell=0), job("k", "k.0", "comentario", cell=1)],
+            {},
+        ),
         ([], [{"e": "late", "over_ms": 3}], {"late": [{"e": "late", "over_ms": 3}]}),
         ([], [{"e": "fell", "equipo": "e", "told_share": 0.9}], {"tipped": ["e"]}),
         ([], [{"e": "fell", "equipo": "e", "told_share": 0.5}], {}),
