A decision costs the same among 5,000 equipos as among 100

Each request summed and ranked the whole pool: 71 us with 10 equipos, 1.4 ms with 1,000, 6.9 ms with 5,000, in one run of benchmarks/decisions.py.

decide/pool.py keeps as it goes what is in flight, who may be sent to, who is warm, near, or of which group, and cold servers in a heap by when they should have credit.

A state machine holds what is kept against a look at everything; three of a thousand are found.

--- /dev/null
+++ b/benchmarks/decisions.py
@@ -0,0 +1,111 @@
+"""What a request and its outcome cost the decision module, by the size of the pool.
+
+    python benchmarks/decisions.py [--servers 10,100,1000,5000] [--requests 3000] [--cold 0.0]
+
+Each size is measured in turns with the smallest, so that what else the machine does falls on both; the last line is
+JSON with medians in microseconds and their ratio to the smallest. Exits 1 where 1,000 cost more than 1.5 times 10.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import statistics
+import sys
+import time
+from collections import deque
+from random import Random
+
+from rosewheel.decide.interface import (
+    Alarm,
+    Effect,
+    ListForm,
+    Membership,
+    Outcome,
+    Request,
+    Result,
+    Send,
+    Server,
+    ServiceClass,
+    Settings,
+)
+from rosewheel.decide.policy import Balancer
+
+LIMIT = 1.5
+IN_FLIGHT_EACH = 1.5  # calls in flight for each server, up to `IN_FLIGHT_MOST`
+IN_FLIGHT_MOST = 200
+
+
+class Load:
+    """A balancer with requests coming and going, so many in flight."""
+
+    def __init__(self, servers: int, cold: float) -> None:
+        classes = (
+            ServiceClass("post", aim_ms=2500, give_up_ms=6000, worth=8, effect=Effect.UNSAFE),
+            ServiceClass("note", aim_ms=2500, give_up_ms=6000, worth=3, effect=Effect.KEYED),
+        )
+        settings = Settings(
+            classes=classes, zone="a", siblings=2, max_attempts=3, cold_from=0.12, cold_ms=24000.0
+        )
+        self.rng, self.now, self.number = Random(1), 100_000.0, 0
+        self.balancer = Balancer(settings, 1, self.now)
+        born = [self.now - 1.0 if self.rng.random() < cold else None for _ in range(servers)]
+        rows = (Server(f"equipo-{at}", "ab"[at % 2], at % 7, launched_ms=born[at]) for at in range(servers))
+        self.balancer.handle(self.now, Membership(ListForm.FULL, tuple(rows)))
+        self.out: deque[Send] = deque()
+        self.most = int(min(IN_FLIGHT_MOST, servers * IN_FLIGHT_EACH))
+        self.period = self.now
+        self.refused = 0
+
+    def one(self) -> float:
+        """A request, and the outcome of the oldest; seconds."""
+        self.now += 1.0
+        self.number += 1
+        name = f"r{self.number}"
+        began = time.perf_counter()
+        acts = self.balancer.handle(
+            self.now, Request(name, "post" if self.number % 2 else "note", self.now + 6000.0)
+        )
+        if len(self.out) >= self.most:
+            done = self.out.popleft()
+            self.balancer.handle(
+                self.now, Outcome(done.id, 0, done.server, Result.OK, 100.0, True, {"queue": 1.0})
+            )
+        took = time.perf_counter() - began
+        sends = [act for act in acts if isinstance(act, Send)]
+        self.out.extend(sends)
+        self.refused += not sends
+        if self.now - self.period >= self.balancer.period_ms:
+            self.period = self.now
+            self.balancer.handle(self.now, Alarm("period"))
+        return took
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__.split("\n", 1)[0])
+    parser.add_argument("--servers", default="10,100,1000,5000")
+    parser.add_argument("--requests", type=int, default=3000)
+    parser.add_argument("--cold", type=float, default=0.0, help="share of the servers that start just now")
+    given = parser.parse_args()
+    sizes = [int(size) for size in given.servers.split(",")]
+    loads = {size: Load(size, given.cold) for size in sizes}
+    costs: dict[int, list[float]] = {size: [] for size in sizes}
+    for _ in range(given.requests):
+        for size, load in loads.items():
+            costs[size].append(load.one())
+    medians = {size: statistics.median(costs[size]) * 1e6 for size in sizes}
+    row = {
+        str(size): {
+            "median_us": round(medians[size], 1),
+            "p99_us": round(sorted(costs[size])[int(len(costs[size]) * 0.99)] * 1e6, 1),
+            "ratio": round(medians[size] / medians[sizes[0]], 2),
+            "refused": loads[size].refused,
+        }
+        for size in sizes
+    }
+    print(json.dumps(row))
+    return 1 if 1000 in medians and medians[1000] > LIMIT * medians[sizes[0]] else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/rosewheel/decide/policy.py
+++ b/rosewheel/decide/policy.py
@@ -23,6 +23,7 @@
     weight,
 )
 from rosewheel.decide.learned import RATE_MS as RATES_FADE_MS
+from rosewheel.decide.pool import WHOLE, Peer, Pool
 
 PERIOD = 0.15  # P, as a share of the shortest aim
 FLAT = 2  # n: slots of T1 at the table's left
@@ -61,6 +62,7 @@
 CLASS_GAIN = 0.03  # smoothing of a class's latency, per outcome
 FORGET_MS = 8000.0  # an unheard server drifts back to the mean at this pace
 STALE_MS = 500.0  # a reported queue is believed for about this long
+REPORTS = 256  # servers whose reports are looked at in a period, of a large pool
 FRESH_MS = 1500.0  # a reported utilisation counts for this long
 ZONE_WEIGHT = 64.0  # calls in the queue that a crossing of zones counts as, per unit of its price
 WATCH_MS = 250.0  # half the first wait before discovery is asked again; doubled at each failure
@@ -70,25 +72,6 @@
 AIM_MARGIN = 0.98  # attempts worth nothing late are given up at this share of the aim
 
 
-@dataclass(slots=True, eq=False)
-class _Peer:
-    """What this balancer knows of one server."""
-
-    info: api.Server
-    slow: float | None = None  # smoothed latency over its class's mean
-    errs: float = 0.0  # smoothed share of failed attempts
-    heard_ms: float = -math.inf
-    load: float = 0.0  # calls in flight from here, by weight
-    beside: float = 0.0  # the same of other processes of this node
-    queue: float = 0.0  # reported calls of other balancers there
-    told_ms: float = -math.inf
-    util: float | None = None
-    out: dict[tuple[str, int], float] = field(default_factory=dict)  # attempts out, oldest first
-    credit: float = 0.0  # calls, by weight, that it may be sent while cold
-    paced_ms: float = -math.inf
-    returned_ms: float = -math.inf  # when operators let it serve again, with no word of its start since
-
-
 @dataclass(slots=True)
 class _Bucket:
     """A tenant's share at this balancer, in requests a second."""
@@ -100,7 +83,7 @@
 
 @dataclass(slots=True)
 class _Try:
-    peer: _Peer
+    peer: Peer
     sent_ms: float
     result: api.Result | None = None  # None: still out
     counted: bool = False  # among the calls in flight there
@@ -125,12 +108,19 @@
         return [item for item in self.tries if item.result is None or not item.result.never_ran]
 
 
-def _group(kind: api.ServiceClass, peer: _Peer) -> tuple[str, int]:
+def _group(kind: api.ServiceClass, peer: Peer) -> tuple[str, int]:
     """The servers among which a repeat of this keyed class is dropped."""
     zone = "" if kind.scope is api.Scope.ALL else peer.info.zone
     return zone, peer.info.cell if kind.scope is api.Scope.CELL else 0
 
 
+def _bag(kind: api.ServiceClass, peer: Peer) -> tuple[str, int] | None:
+    """The same as the pool knows it; None where that is all of it."""
+    if kind.scope is api.Scope.ALL:
+        return None
+    return peer.info.zone, peer.info.cell if kind.scope is api.Scope.CELL else -1
+
+
 def _ago(now: float, then: float | None) -> float | None:
     return None if then is None or then == -math.inf else max(0.0, now - then)
 
@@ -148,10 +138,10 @@
         self.top_worth = max(kind.worth for kind in settings.classes) or 1.0
         self.shape = [1.0] * FLAT + [STEP**step for step in range(1, STEPS + 1)]
         self.cursor = 0
-        self.peers: dict[str, _Peer] = {}
-        self.ready: list[_Peer] = []  # those that may be sent to
-        self.cordoned: dict[str, float] = {}  # those that operators have taken out, and when
+        self.pool = Pool(settings.zone, settings.cold_ms)
         self.jobs: dict[str, _Job] = {}
+        self.beside: set[str] = set()  # servers where other processes of this node have calls in flight
+        self.far = ZONE_WEIGHT * settings.cross_zone_price
         self.processes = 1  # of this node, each with a balancer; only during an upgrade more
         self.started = False
         self.watch_failures = 0
@@ -171,6 +161,10 @@
         shares = {tenant.name: tenant.quota_per_s / settings.siblings for tenant in settings.tenants}
         self.buckets = {name: _Bucket(share, share, now_ms) for name, share in shares.items()}
 
+    @property
+    def peers(self) -> dict[str, Peer]:
+        return self.pool.peers
+
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         if isinstance(event, api.Request):  # before any state is touched
             if event.service not in self.kinds:
@@ -206,8 +200,13 @@
         elif isinstance(event, api.Company):
             self._on_company(event)
         elif isinstance(event, api.Beside):
-            for address, peer in self.peers.items():
-                peer.beside = event.loads.get(address, 0.0)
+            for address in self.beside - event.loads.keys():
+                if address in self.peers:
+                    self.peers[address].beside = 0.0
+            for address, load in event.loads.items():
+                if address in self.peers:
+                    self.peers[address].beside = load
+            self.beside = set(event.loads)
         elif isinstance(event, api.Lapsed) and event.id in self.jobs:
             self._end(self.jobs[event.id], acts)
         elif isinstance(event, api.Arrived) and event.id in self.jobs:
@@ -315,25 +314,25 @@
         if event.form is not api.ListForm.CACHED:
             self.watch_failures = 0
         if event.form is not api.ListForm.DELTA:  # a server absent from a whole list is gone
-            named = {server.address for server in event.servers}
-            self.peers = {address: peer for address, peer in self.peers.items() if address in named}
+            self.pool.keep({server.address for server in event.servers})
         for server in event.servers:
             if server.state is api.ServerState.REMOVED:
-                self.peers.pop(server.address, None)
+                self.pool.drop(server.address)
                 continue
             known = self.peers.get(server.address)
             if known is None or known.info.launched_ms != server.launched_ms:  # new, or restarted
                 first = self.rng.random() / self.processes
-                self.peers[server.address] = _Peer(server, credit=first, paced_ms=now)
+                self.pool.put(Peer(server, credit=first, paced_ms=now), now)
             else:
-                known.info = server
-        self._muster()
+                self.pool.update(known, server, now)
 
     def _on_cordon(self, now: float, event: api.Cordon) -> None:
         if event.out:
-            self.cordoned.setdefault(event.server, now)
-        elif event.server in self.cordoned:
-            since = self.cordoned.pop(event.server)
+            self.pool.cordoned.setdefault(event.server, now)
+            if event.server in self.peers:
+                self.pool.settle(self.peers[event.server], now)
+        elif event.server in self.pool.cordoned:
+            since = self.pool.cordoned.pop(event.server)
             known = self.peers.get(event.server)
             if known is not None:
                 # Guard: as a rule it was out for a restart, of which the list tells seconds late; sent its
@@ -343,14 +342,9 @@
                 # Guard: with little traffic a drawn credit left it idle for seconds after it was wanted back.
                 # It gets its first call at once, but not from many balancers together.
                 credit = 1.0 if self.rng.random() * self.cfg.siblings < AT_ONCE else self.rng.random()
-                back = _Peer(known.info, credit=credit, paced_ms=now)
+                back = Peer(known.info, credit=credit, paced_ms=now)
                 back.returned_ms = -math.inf if seen else now
-                self.peers[event.server] = back
-        self._muster()
-
-    def _muster(self) -> None:
-        up = (peer for peer in self.peers.values() if peer.info.state is api.ServerState.UP)
-        self.ready = [peer for peer in up if peer.info.address not in self.cordoned]
+                self.pool.put(back, now)
 
     # ------------------------------------------------------------- admission
 
@@ -388,16 +382,17 @@
             units = min(4.0, max(0.25, hint / self.mean_hint))
         self.asked += units
         job = self.jobs[request.id] = _Job(request, kind, now, units)
-        load = sum(peer.load for peer in self.ready)
+        ready = self.pool.ready
+        load = sum(peer.load for peer in ready) if len(ready) <= WHOLE else self.pool.load
         # Guard: where few calls are in flight an entry lies between two counts, and whole ones cannot shed a
         # share. It is met in proportion: on average at the entry itself.
-        full = load + self.rng.random() > self.threshold(self._worth(now, request, kind), len(self.ready))
+        full = load + self.rng.random() > self.threshold(self._worth(now, request, kind), len(ready))
         if full or not self._send(now, job, acts):
             self._answer(job, acts)
 
     # --------------------------------------------------------------- ranking
 
-    def _pick(self, now: float, job: _Job) -> _Peer | None:
+    def _pick(self, now: float, job: _Job) -> Peer | None:
         ran, effect = job.may_have_run(), job.kind.effect
         expired = bool(ran) and now - ran[0].sent_ms >= job.kind.memory_ms
         if ran and (effect is api.Effect.UNSAFE or (effect is api.Effect.KEYED and expired)):
@@ -405,31 +400,39 @@
         bound = _group(job.kind, ran[0].peer) if ran and effect is api.Effect.KEYED else None
         tried = [item.peer for item in job.tries]
         best, best_rank = None, math.inf
-        for peer in self.ready:
+        few = len(self.peers) <= WHOLE
+        group = None if bound is None else _bag(job.kind, ran[0].peer)
+        seen = self.pool.ready if few else self.pool.candidates(now, self.rng, group, self._paced)
+        for peer in seen:
             if peer in tried or bound not in (None, _group(job.kind, peer)):
                 continue
             rank = self._rank(now, peer)
-            if rank < best_rank and self._paced(now, peer):
-                best, best_rank = peer, rank
+            if rank < best_rank:
+                if self._paced(now, peer):
+                    best, best_rank = peer, rank
+                elif not few:
+                    self.pool.unpaid(peer, now)
         return best
 
-    def _rank(self, now: float, peer: _Peer) -> float:
+    def _rank(self, now: float, peer: Peer) -> float:
         """Smoothed latency x (queue + 1); a silent server drifts to the mean of the others, which is 1."""
         slow = 1.0
         if peer.slow is not None:
             slow += (peer.slow - 1.0) * math.exp((peer.heard_ms - now) / FORGET_MS)
-        oldest = next(iter(peer.out.items()), None)
-        if oldest is not None and peer.heard_ms <= oldest[1]:
-            # Guard: a server that hangs shows in its oldest unanswered attempt long before a time-out.
-            mean = self.class_ms.get(self.jobs[oldest[0][0]].kind.name)
-            slow = max(slow, (now - oldest[1]) / mean) if mean else slow
-        failing = 1.0 - min(0.9, peer.errs)
+        if peer.out:
+            (id, _), since = next(iter(peer.out.items()))
+            if peer.heard_ms <= since:
+                # Guard: a server that hangs shows in its oldest unanswered attempt long before a time-out.
+                mean = self.class_ms.get(self.jobs[id].kind.name)
+                slow = max(slow, (now - since) / mean) if mean else slow
         # What a server reports has what other processes of this node sent it in it, a little late.
-        queue = max(peer.beside, peer.queue * math.exp((peer.told_ms - now) / STALE_MS))
-        far = ZONE_WEIGHT * self.cfg.cross_zone_price if peer.info.zone != self.cfg.zone else 0.0
-        return slow * (peer.load + queue + 1.0 + far) / failing * self.rng.uniform(0.95, 1.05)
+        queue = peer.queue * math.exp((peer.told_ms - now) / STALE_MS) if peer.queue else 0.0
+        queue = max(peer.beside, queue)
+        far = self.far if peer.info.zone != self.cfg.zone else 0.0
+        noise = 0.95 + (1.05 - 0.95) * self.rng.random()
+        return slow * (peer.load + queue + 1.0 + far) / (1.0 - min(0.9, peer.errs)) * noise
 
-    def _paced(self, now: float, peer: _Peer) -> bool:
+    def _paced(self, now: float, peer: Peer) -> bool:
         """Guard: all balancers together must not push a cold server over. While it may be cold it earns
         credit at its present share (from `cold_from`, even over `cold_ms`) of what is asked here for each
         server; its first credit is drawn, so that many quiet balancers do not all send it a call at once."""
@@ -438,7 +441,7 @@
         if now - launched >= cold_ms:
             return True
         warmth = self.cfg.cold_from + (1.0 - self.cfg.cold_from) * max(0.0, now - launched) / cold_ms
-        earned = warmth * self.asked_rate / len(self.ready) * (now - peer.paced_ms)
+        earned = warmth * self.asked_rate / len(self.pool.ready) * (now - peer.paced_ms)
         peer.credit, peer.paced_ms = min(CREDIT_MAX, peer.credit + earned), now
         return peer.credit >= 1.0
 
@@ -460,6 +463,8 @@
         if job.request.whole:
             self._count_in(job, len(job.tries) - 1, now)
         peer.credit -= job.units
+        if len(self.peers) > WHOLE:
+            self.pool.unpaid(peer, now)
         acts.append(api.Send(job.request.id, peer.info.address, left))
         return True
 
@@ -467,13 +472,13 @@
         item = job.tries[attempt]
         item.sent_ms, item.counted = now, True
         item.peer.out[(job.request.id, attempt)] = now
-        item.peer.load += job.units
+        self.pool.charge(item.peer, job.units)
 
     def _count_off(self, job: _Job, attempt: int) -> None:
         item = job.tries[attempt]
         if item.counted:
             item.counted = False
-            item.peer.load = max(0.0, item.peer.load - job.units)
+            self.pool.charge(item.peer, -job.units)
             item.peer.out.pop((job.request.id, attempt), None)
 
     def _on_arrived(self, now: float, job: _Job, event: api.Arrived) -> None:
@@ -565,7 +570,8 @@
     def _on_period(self, now: float) -> None:
         """Move the cursor one step by the period's load, scaled so that 1 is the target."""
         load = 0.0
-        fresh = [peer for peer in self.ready if peer.told_ms >= now - FRESH_MS]  # Guard: old reports mislead
+        told = self.pool.look(self.rng, REPORTS)
+        fresh = [peer for peer in told if peer.told_ms >= now - FRESH_MS]  # Guard: old reports mislead
         utils = _middle([peer.util for peer in fresh if peer.util is not None])
         if self.ratios:  # the median resists one sick server
             middle = _middle(self.ratios) or 0.0
@@ -610,6 +616,7 @@
         self.rate += gain * (self.completed / self.period_ms - self.rate)
         self.peak = max(self.rate, self.peak * (1.0 - min(1.0, self.period_ms / PEAK_MS)))
         self.asked_rate += gain * (self.asked / self.period_ms - self.asked_rate)
+        self.pool.earn = self.asked_rate / max(1, len(self.pool.ready))
         self.periods += 1
         self.ratios, self.completed, self.ended, self.asked = [], 0.0, 0.0, 0.0
         self.full = self.errors = 0.0
--- a/tests/test_cordon.py
+++ b/tests/test_cordon.py
@@ -74,7 +74,8 @@
     box.members(0.0, api.ListForm.FULL, (api.Server("s", zone="a"),))
     assert not box.knows("nobody")
     box.cordon(0.0, "s", out=True)
-    box.balancer.ready = list(box.balancer.peers.values())  # a module that forgets
+    box.balancer.pool.cordoned.clear()  # a module that forgets
+    box.balancer.pool.settle(box.balancer.peers["s"], 0.0)
     effects = box.request(1.0, api.Request("r", "read", 2000.0))
     assert not any(isinstance(effect, Dispatch) for effect in effects)
     assert (box.can_serve, box.avoided) == (False, 1)
--- /dev/null
+++ b/tests/test_pool.py
@@ -0,0 +1,217 @@
+"""Choosing among many servers: the same rules as among few, at a cost that does not grow with the pool."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from helpers import KEYED, Bed, sent, settings
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from rosewheel.decide import interface as api
+from rosewheel.decide import policy
+from rosewheel.decide.policy import Balancer
+from rosewheel.decide.pool import COLD, LOOKS, SAMPLE, WHOLE, Pool
+
+MANY = 1000
+NAMES = st.sampled_from([f"s{at}" for at in range(WHOLE + 12)])
+
+
+def _server(name: str, launched: float | None, state: api.ServerState) -> api.Server:
+    at = int(name[1:])
+    return api.Server(name, zone="ab"[at % 2], cell=at % 3, state=state, launched_ms=launched)
+
+
+class PoolMachine(RuleBasedStateMachine):
+    """Lists, changes, cordons, calls and time in any order, on both sides of the size from which it samples. What is
+    kept as it goes must equal what a look at everything gives."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 50_000.0
+        given = settings(classes=(KEYED,), cold_from=0.2, cold_ms=4000.0)
+        self.balancer = Balancer(given, seed=3, now_ms=self.now)
+        self.open: list[api.Send] = []
+        self.number = 0
+        everything = [_server(f"s{at}", None, api.ServerState.UP) for at in range(WHOLE + 6)]
+        self._list(api.ListForm.FULL, everything)
+
+    def _list(self, form: api.ListForm, rows: list[api.Server]) -> None:
+        self.balancer.handle(self.now, api.Membership(form, tuple(rows)))
+
+    @rule(name=NAMES, state=st.sampled_from(list(api.ServerState)), ago=st.sampled_from([None, 0.0, 9000.0]))
+    def change(self, name: str, state: api.ServerState, ago: float | None) -> None:
+        self._list(api.ListForm.DELTA, [_server(name, None if ago is None else self.now - ago, state)])
+
+    @rule(names=st.sets(NAMES, max_size=WHOLE + 12))
+    def whole(self, names: set[str]) -> None:
+        self._list(api.ListForm.FULL, [_server(name, None, api.ServerState.UP) for name in sorted(names)])
+
+    @rule(name=NAMES, out=st.booleans())
+    def cordon(self, name: str, out: bool) -> None:
+        self.balancer.handle(self.now, api.Cordon(name, out))
+
+    @rule(count=st.integers(1, 12))
+    def ask(self, count: int) -> None:
+        may = {peer.info.address for peer in self.balancer.peers.values() if self._may(peer)}
+        for _ in range(count):
+            self.number += 1
+            request = api.Request(f"r{self.number}", "points", self.now + 5000.0)
+            sends = sent(self.balancer.handle(self.now, request))
+            assert all(one.server in may for one in sends), "sent to one that is out"
+            self.open += sends
+
+    @rule(
+        at=st.integers(0, 50),
+        result=st.sampled_from([api.Result.OK, api.Result.FULL, api.Result.CONNECT_FAILED]),
+    )
+    def end(self, at: int, result: api.Result) -> None:
+        if not self.open:
+            return
+        one = self.open.pop(at % len(self.open))
+        job = self.balancer.jobs[one.id]
+        attempt = len(job.tries) - 1
+        first = job.tries[0].peer
+        done = result is api.Result.OK
+        again = sent(
+            self.balancer.handle(self.now, api.Outcome(one.id, attempt, one.server, result, 90.0, done))
+        )
+        assert not {item.server for item in again} & {
+            item.peer.info.address for item in job.tries[: attempt + 1]
+        }
+        assert first.info.address in one.server or attempt > 0
+        self.open += again
+
+    @rule(passed=st.floats(1.0, 3000.0))
+    def time(self, passed: float) -> None:
+        self.now += passed
+        self.balancer.handle(self.now, api.Alarm("period"))
+
+    def _may(self, peer: Any) -> bool:
+        return peer.info.state is api.ServerState.UP and peer.info.address not in self.balancer.pool.cordoned
+
+    @invariant()
+    def kept_as_it_is(self) -> None:
+        pool: Pool = self.balancer.pool
+        ready = [peer for peer in pool.peers.values() if self._may(peer)]
+        assert set(pool.ready) == set(ready)
+        assert len(pool.ready) == len(ready)
+        if len(pool.peers) <= WHOLE:
+            assert pool.ready == ready, "a small pool keeps the order of its list"
+        assert pool.load == pytest.approx(sum(peer.load for peer in ready), abs=1e-6)
+        for key, bag in pool._groups.items():
+            assert bag.items
+            members = {peer for peer in ready if key in Pool._keys(peer)}
+            assert set(bag.items) == members
+        for peer in ready:
+            cold = peer not in pool._warm
+            assert not cold or peer in pool._payable or peer.due, "a cold one that nobody would look at again"
+        assert len(pool._due) <= 2 * max(len(pool.peers), WHOLE + 12) + WHOLE + 1
+
+
+PoolMachine.TestCase.settings = hypothesis_settings(max_examples=40, stateful_step_count=40, deadline=None)
+TestPool = PoolMachine.TestCase
+
+
+def _counted(monkeypatch: pytest.MonkeyPatch) -> list[int]:
+    looks = [0]
+    rank = Balancer._rank
+
+    def counting(self: Balancer, now: float, peer: Any) -> float:
+        looks[0] += 1
+        return rank(self, now, peer)
+
+    monkeypatch.setattr(policy.Balancer, "_rank", counting)
+    return looks
+
+
+def _few(why: str, now: float) -> list[api.Server]:
+    """A thousand servers of which three may be picked: s0, s1, s2."""
+    rows = []
+    for at in range(MANY):
+        few = at < 3
+        down = why == "down" and not few
+        rows.append(
+            api.Server(
+                f"s{at}",
+                zone="a" if few or why != "far" else "b",
+                state=api.ServerState.DRAINING if down else api.ServerState.UP,
+                launched_ms=now if why == "cold" and not few else None,
+            )
+        )
+    return rows
+
+
+@pytest.mark.parametrize("why", ["down", "cold", "cordoned"])
+def test_three_of_a_thousand_are_found_at_a_bounded_cost(why: str, monkeypatch: pytest.MonkeyPatch):
+    bed = Bed(0, cold_from=0.001, cold_ms=1e9)
+    bed.give(api.Membership(api.ListForm.FULL, tuple(_few(why, bed.now))))
+    if why == "cold":
+        for peer in bed.balancer.peers.values():
+            peer.credit = min(peer.credit, 0.5)
+    if why == "cordoned":
+        for at in range(3, MANY):
+            bed.give(api.Cordon(f"s{at}", True))
+    looks = _counted(monkeypatch)
+    for at in range(200):
+        looks[0] = 0
+        assert bed.serve() in ("s0", "s1", "s2"), at
+        assert looks[0] <= SAMPLE + COLD
+
+
+def test_where_none_of_a_thousand_may_be_picked_the_answer_comes_at_once(monkeypatch: pytest.MonkeyPatch):
+    bed = Bed(0, cold_from=0.001, cold_ms=1e9)
+    bed.give(api.Membership(api.ListForm.FULL, tuple(_few("cold", bed.now)[3:])))
+    for peer in bed.balancer.peers.values():
+        peer.credit = 0.0
+    looks = _counted(monkeypatch)
+    _, acts = bed.ask()
+    assert [type(act) for act in acts if not isinstance(act, api.Wake)] == [api.Refuse]
+    assert looks[0] <= SAMPLE + COLD
+
+
+def test_a_keyed_repeat_finds_its_small_group_among_a_thousand(monkeypatch: pytest.MonkeyPatch):
+    """Guards the key: only the three servers of its cell drop the repeat."""
+    kind = api.ServiceClass(
+        "points", aim_ms=2000, give_up_ms=5000, effect=api.Effect.KEYED, scope=api.Scope.CELL, memory_ms=9000
+    )
+    bed = Bed(0, classes=(kind,))
+    rows = [api.Server(f"s{at}", zone="a", cell=at // 3) for at in range(MANY)]
+    bed.give(api.Membership(api.ListForm.FULL, tuple(rows)))
+    looks = _counted(monkeypatch)
+    for _ in range(50):
+        name, acts = bed.ask("points")
+        first = sent(acts)[0].server
+        looks[0] = 0
+        again = sent(bed.end(name, first, api.Result.RESET))
+        assert [int(one.server[1:]) // 3 for one in again] == [int(first[1:]) // 3]
+        assert again[0].server != first
+        assert looks[0] <= LOOKS
+        bed.end(name, again[0].server, api.Result.OK, attempt=1)
+
+
+def test_cold_servers_of_a_large_pool_get_their_share_and_no_more():
+    """Each may be sent what its warmth allows of what one server is asked, and gets some of it soon."""
+    bed = Bed(0, cold_from=0.2, cold_ms=20_000.0)
+    rows = [api.Server(f"s{at}", zone="a", launched_ms=bed.now if at < 100 else None) for at in range(500)]
+    bed.give(api.Membership(api.ListForm.FULL, tuple(rows)))
+    counts = dict.fromkeys((row.address for row in rows), 0)
+    due = bed.now + bed.balancer.period_ms
+    for _ in range(8000):  # two a millisecond, for 4 s
+        name, acts = bed.ask()
+        for one in sent(acts):
+            counts[one.server] += 1
+            bed.end(name, one.server, api.Result.OK, 50.0)
+        bed.now += 0.5
+        if bed.now >= due:
+            bed.give(api.Alarm("period"))
+            due = bed.now + bed.balancer.period_ms
+    cold = [counts[f"s{at}"] for at in range(100)]
+    warm = [counts[f"s{at}"] for at in range(100, 500)]
+    each = 8000 / 500
+    warmth = 0.2 + 0.8 * 0.1  # on average over the 4 s
+    assert max(cold) <= warmth * 1.3 * each + 3.0
+    assert sum(cold) / 100 >= 0.5 * warmth * each
+    assert min(warm) > 0
