A list of 5,000 equipos no longer holds up requests while it is taken

A whole list of that length held the event loop for 34 to 50 ms, 72 at worst, each time it came: text, entries, connection pools, node and module in one go.

Once a list of more than 250 entries has come, discovery/catalog.py compares each whole one with what was told, 250 rows a turn of the loop, and passes on what has changed and what is gone. Shorter lists go as they came.

A property test: any lists in any order, also one before the last is done, end where whole ones do.

--- a/rosewheel/discovery/catalog.py
+++ b/rosewheel/discovery/catalog.py
@@ -5,7 +5,8 @@
 import asyncio
 import logging
 import time
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any, cast
 
 import httptools
@@ -21,6 +22,7 @@
 SILENCE_S = 4.5
 CONNECT_S = 2.0
 FIRST_S = 2.5  # the agent answers at once, and says something every 2 s
+SLICE = 250  # entries that are taken at a time: a longer list must not hold up the requests meanwhile
 LINE_BYTES = 4 << 20  # Guards memory against a line that never ends
 
 STATES = {"active": ServerState.UP, "leaving": ServerState.DRAINING, "left": ServerState.REMOVED}
@@ -51,11 +53,87 @@
     return Server(host, str(row.get("site") or ""), int(row.get("block") or 0), state, launched), dial
 
 
+class Lists:
+    """Makes of long lists what has changed by them, a slice at a time.
+
+    Lists of up to `SLICE` rows are passed on as they came, until a longer one has come. From then on each whole one is
+    compared with what was told, row by row, and passed on as changes: what it costs behind here goes by what has
+    changed, and no turn of the loop takes more than a slice.
+    """
+
+    def __init__(self, heard: Heard, known: Iterable[str] = ()) -> None:
+        self.heard = heard
+        self.rows: dict[str, Any] = dict.fromkeys(known)  # as last told, or None where just the host is known
+        self.long = False  # a long list has come
+        self._waiting: deque[Iterator[None]] = deque()
+        self._turn: asyncio.Handle | None = None
+
+    def take(self, whole: bool, rows: object) -> None:
+        listed = rows if isinstance(rows, list) else []
+        if not self.long and len(listed) <= SLICE:
+            if whole:
+                self.rows.clear()
+            for row in listed:
+                if isinstance(row, dict) and isinstance(row.get("host"), str):
+                    self.rows[row["host"]] = row
+            self.heard(ListForm.FULL if whole else ListForm.DELTA, entries_from(listed))
+            return
+        self.long = True
+        self._waiting.append(self._sliced(whole, listed))
+        if self._turn is None:  # not at once: to make rows of its text took a turn's time already
+            self._turn = asyncio.get_running_loop().call_soon(self._next)
+
+    def close(self) -> None:
+        if self._turn is not None:
+            self._turn.cancel()
+            self._turn = None
+        self._waiting.clear()
+
+    def _next(self) -> None:
+        self._turn = None
+        while self._waiting:
+            if next(self._waiting[0], self) is self:  # this list is done
+                self._waiting.popleft()
+            else:
+                self._turn = asyncio.get_running_loop().call_soon(self._next)
+                return
+
+    def _sliced(self, whole: bool, rows: list[Any]) -> Iterator[None]:
+        told = self.rows
+        named: set[str] = set()
+        for at in range(0, max(1, len(rows)), SLICE):
+            changed = []
+            for row in rows[at : at + SLICE]:
+                host = row.get("host") if isinstance(row, dict) else None
+                if isinstance(host, str):
+                    named.add(host)
+                    if told.get(host) == row:
+                        continue
+                    told[host] = row
+                changed.append(row)
+            if changed or not at:
+                self.heard(ListForm.DELTA, entries_from(changed))
+            yield
+        if whole:
+            yield from self._gone(told, named)
+
+    def _gone(self, told: dict[str, Any], named: set[str]) -> Iterator[None]:
+        gone = [host for host in told if host not in named]
+        for at in range(0, len(gone), SLICE):
+            part = gone[at : at + SLICE]
+            for host in part:
+                del told[host]
+            self.heard(ListForm.DELTA, [(Server(host, state=ServerState.REMOVED), ("", 0)) for host in part])
+            yield
+
+
 class Discovery:
-    """Opens a watch when told to; each one ends in exactly one FAILED, unless a newer one replaces it."""
+    """Opens a watch when told to; each one ends in exactly one FAILED, unless a newer one replaces it. `known` are
+    the hosts of the list with which its owner begins."""
 
-    def __init__(self, address: Address, since: int, heard: Heard) -> None:
+    def __init__(self, address: Address, since: int, heard: Heard, known: Iterable[str] = ()) -> None:
         self.address, self.since, self.heard = address, since, heard
+        self.lists = Lists(heard, known)
         self._watch: _Watch | None = None
         self._task: asyncio.Task[None] | None = None
 
@@ -119,7 +197,7 @@
             form = "whole" if whole else "changes"
             log.info("told from %d to %d: %s, %d entries", self.since, seq, form, len(rows))
         self.since = seq
-        self.heard(ListForm.FULL if whole else ListForm.DELTA, entries_from(rows))
+        self.lists.take(whole, rows)
 
 
 class _Watch(asyncio.Protocol):
--- a/rosewheel/relay/relay.py
+++ b/rosewheel/relay/relay.py
@@ -100,7 +100,10 @@
         self.handover = Handover(config.state, config.name, self.moves)
         self._told = asyncio.Event()  # discovery has said something
         since = config.known.get("seq")
-        self.discovery = Discovery(config.discovery, since if isinstance(since, int) else 0, self._heard)
+        known = [server.address for server, _ in entries_from(config.known.get("hosts"))]
+        self.discovery = Discovery(
+            config.discovery, since if isinstance(since, int) else 0, self._heard, known
+        )
         self.calls: dict[str, Call] = {}
         self.unheard = 0  # watches that ended since one last had something to tell
         self.longest_ms = 0.0  # of the requests so far, how long a caller waits at most
@@ -184,6 +187,7 @@
         self.admin.close()
         self.state.close()
         self.discovery.close()
+        self.discovery.lists.close()
         self.upstream.close()
         if self._timer is not None:
             self._timer.cancel()
--- /dev/null
+++ b/tests/test_lists.py
@@ -0,0 +1,110 @@
+"""Long lists of equipos: taken a slice at a time, and with the same end as taken whole."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from sockets import config, entry, run
+
+from rosewheel.decide.interface import ListForm, ServerState
+from rosewheel.discovery import catalog
+from rosewheel.discovery.catalog import Entry, Lists, entries_from
+from rosewheel.relay.relay import Relay
+
+ROWS = st.lists(
+    st.builds(
+        lambda host, port, health: entry(f"s{host}", port, health=health),
+        st.integers(0, 12),
+        st.integers(1, 3),
+        st.sampled_from(["active", "leaving", "left"]),
+    ),
+    max_size=12,
+    unique_by=lambda row: row["host"],
+)
+TOLD = st.lists(st.tuples(st.booleans(), ROWS), max_size=6)
+
+
+def _applied(into: dict[str, Any], form: ListForm, entries: list[Entry]) -> None:
+    """What whoever hears of lists makes of one."""
+    if form is ListForm.FULL:
+        into.clear()
+    for server, dial in entries:
+        if server.state is ServerState.REMOVED:
+            into.pop(server.address, None)
+        else:
+            into[server.address] = (server, dial)
+
+
+@given(TOLD, ROWS)
+@hypothesis_settings(suppress_health_check=[HealthCheck.function_scoped_fixture], deadline=None)
+def test_slices_end_where_whole_lists_do(
+    told: list[tuple[bool, list[dict[str, Any]]]], known: list[dict[str, Any]]
+):
+    """Whatever comes in whichever order, also while an earlier list is not done yet."""
+    whole: dict[str, Any] = {}
+    sliced: dict[str, Any] = {}
+    most = [0]
+    for into in (whole, sliced):
+        _applied(into, ListForm.FULL, entries_from(known))
+
+    def heard(form: ListForm, entries: list[Entry]) -> None:
+        most[0] = max(most[0], len(entries))
+        _applied(sliced, form, entries)
+
+    async def main() -> None:
+        lists = Lists(heard, [row["host"] for row in known if row["health"] != "left"])
+        for is_whole, rows in told:
+            lists.take(is_whole, rows)
+            _applied(whole, ListForm.FULL if is_whole else ListForm.DELTA, entries_from(rows))
+        while lists._turn is not None:
+            await asyncio.sleep(0)
+
+    kept, catalog.SLICE = catalog.SLICE, 3
+    try:
+        run(main())
+    finally:
+        catalog.SLICE = kept
+    assert sliced == whole
+    assert most[0] <= 3
+
+
+def test_a_long_list_that_says_the_same_again_costs_nothing_behind_it():
+    async def main() -> None:
+        heard: list[int] = []
+        lists = Lists(lambda form, entries: heard.append(len(entries)))
+        rows = [entry(f"s{at}", 9000) for at in range(2 * catalog.SLICE)]
+        for again in range(3):
+            rows[again] = entry(f"s{again}", 9001)
+            lists.take(True, rows)
+            while lists._turn is not None:
+                await asyncio.sleep(0)
+        assert heard[:2] == [catalog.SLICE] * 2
+        assert sum(heard[2:]) == 2
+
+    run(main())
+
+
+@pytest.mark.parametrize("count", [3, 2000])
+def test_a_node_follows_lists_of_any_length(count: int):
+    async def main() -> None:
+        relay = Relay(config([entry("old", 9000)]))
+        relay.discovery.watch = lambda: None  # type: ignore[method-assign]
+        relay._heard(ListForm.CACHED, entries_from(relay.config.known["hosts"]))
+        assert "old" in relay.node.servers
+        rows = [entry(f"s{at}", 9000) for at in range(count)]
+        for part in (rows, rows[1:], rows[1:2]):
+            relay.discovery.lists.take(True, part)
+            while relay.discovery.lists._turn is not None:
+                await asyncio.sleep(0)
+            wanted = {row["host"] for row in part}
+            assert set(relay.node.servers) == wanted, "what a whole list does not name is gone"
+            assert set(relay.upstream.pools) == wanted
+            assert set(relay.node.balancer.peers) == wanted
+        relay.discovery.lists.close()
+
+    run(main())
