Beside a process that leaves the other paces alone, whenever it is counted

Read once more: a look at who is there that came after the old process had said that it leaves made the new one share its credit for cold equipos again; and what one old process had held stayed known to the next upgrade where it followed within 0.2 s, so that two processes could have held more descriptors than one node may.

A test fails without either.

--- a/rosewheel/handover/service.py
+++ b/rosewheel/handover/service.py
@@ -102,16 +102,11 @@
         self.ready = False
         there, here = os.pipe2(os.O_CLOEXEC | os.O_NONBLOCK)
         self.giver = Giver(self.after, self.moves, here)
-        try:
-            self.after.send(self._hello(), fds=(there,))
-        finally:
-            self._keep_until_sent(there)
+        self.moves.relay.theirs = None  # what an earlier process held says nothing of this one
+        self.after.send(self._hello(), fds=(there,))
+        drop([there])  # the first packet of a link never waits
         self._beside()
 
-    def _keep_until_sent(self, fd: int) -> None:
-        # The first packet of a new link never waits: its queue is empty.
-        drop([fd])
-
     # ------------------------------------------------------------------ words
 
     def _heard(self, link: Link, message: wire.Message, blob: bytes, fds: list[int]) -> None:
--- a/rosewheel/relay/relay.py
+++ b/rosewheel/relay/relay.py
@@ -289,7 +289,8 @@
         self.processes = processes
         if processes == 1:
             self.theirs = None
-        self.apply(self.node.company(now_ms(), processes))
+        # One that leaves is still here, but sends nothing new.
+        self.apply(self.node.company(now_ms(), processes if self.theirs is None else 1))
         self._share(self.config.bounds.sockets)
         while self.descriptors > self.most:
             if not (self.server.close_idle() or self.upstream.close_idle()):
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -646,6 +646,29 @@
     run(main())
 
 
+def test_beside_one_that_leaves_a_process_paces_alone_and_the_next_is_met_afresh(tmp_path: Path):
+    """Whenever the look at who is there comes: the old process still is, but sends nothing new."""
+
+    async def main() -> None:
+        async with bench([entry("s", 1)], tmp_path) as node:
+            relay = await node.next()
+            relay._company(2)
+            assert relay.node.balancer.processes == 2
+            half = relay.most
+            relay.beside_leaves(5)
+            assert relay.node.balancer.processes == 1
+            assert relay.most > half, "what the old one gives up is this one's"
+            relay._company(2)
+            assert relay.node.balancer.processes == 1
+            await node.next()
+            assert relay.theirs is None
+            relay._company(2)
+            assert relay.node.balancer.processes == 2
+            assert relay.most == half
+
+    run(main())
+
+
 def test_ten_upgrades_in_a_row_keep_a_connection_and_every_descriptor(tmp_path: Path):
     """One client asks through eleven processes on one connection, another takes a long answer meanwhile."""
 
