--- a/rosewheel/cli/lab.py
+++ b/rosewheel/cli/lab.py
@@ -7,7 +7,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Sequence
 from pathlib import Path
 from typing import Any, NoReturn
 
@@ -36,10 +36,10 @@
     try:
         return plans.make(scenarios.load(name, changes), seed)
     except ProblemsError as error:
-        _bad(error)
+        bad_input(error)
 
 
-def _bad(error: ProblemsError) -> NoReturn:
+def bad_input(error: ProblemsError) -> NoReturn:
     for line in error.lines():
         click.echo(f"rosewheel: {line}", err=True)
     sys.exit(2)
@@ -61,7 +61,7 @@
         sys.exit(1)
 
 
-def _json(row: dict[str, Any]) -> None:
+def json_line(row: dict[str, Any]) -> None:
     click.echo(msgspec.json.encode(row).decode())
 
 
@@ -72,7 +72,7 @@
 )
 
 
-def _print_plan(plan: Plan) -> None:
+def print_plan(plan: Plan) -> None:
     for line in plan.lines():
         click.echo(line.decode())
 
@@ -169,7 +169,7 @@
     """Equipos and their discovery on loopback; says where nodes find discovery, then plays the troubles."""
     plan = _plan(name, seed, seconds)
     if only_plan:
-        _print_plan(plan)
+        print_plan(plan)
         return
     with tempfile.TemporaryDirectory(prefix="rosewheel-emulate-") as folder:
         _run(_emulate(plan, out or Path(folder)))
@@ -185,7 +185,7 @@
         for number in range(plan.scenario.nodes.count):
             host, port = await emulator.agent(f"n{number}").start()
             agents[f"n{number}"] = f"{host}:{port}"
-        _json({"discovery": agents, "settings": settings(plan, 0, plan.scenario.nodes.count)})
+        json_line({"discovery": agents, "settings": settings(plan, 0, plan.scenario.nodes.count)})
         sys.stdout.flush()
         emulator.begin(now_ms())
         await asyncio.sleep(plan.scenario.seconds)
@@ -193,7 +193,7 @@
         figures = emulator.figures_now()
         emulator.close()
         records.close()
-    _json({"ok": True, **figures})
+    json_line({"ok": True, **figures})
 
 
 # ----------------------------------------------------------------------- load
@@ -212,7 +212,7 @@
     """Open-loop clients of a scenario against nodes that run already; the last line is the result as JSON."""
     plan = _plan(name, seed, seconds)
     if only_plan:
-        _print_plan(plan)
+        print_plan(plan)
         return
     try:
         nodes = {f"n{at}": parse_address(text) for at, text in enumerate(target.split(","))}
@@ -235,7 +235,9 @@
             name: {f"p{q:g}_ms": one.get_value_at_percentile(q) for q in (50.0, 99.0)}
             for name, one in clients.latency.items()
         }
-        _json({"ok": True, "service": round(clients.service(), 4), "classes": clients.counts, **quantiles})
+        json_line(
+            {"ok": True, "service": round(clients.service(), 4), "classes": clients.counts, **quantiles}
+        )
 
 
 # ----------------------------------------------------------------- experiment
@@ -259,16 +261,13 @@
     out: Path | None,
 ) -> None:
     """Emulator, real nodes and load together: records, a table, and a page with plots. 1 where a rule broke."""
-    changes = [_change(text) for text in vary]
-    if seconds is not None:
-        changes.append(("seconds", [seconds]))
     try:
-        found = experiments.variants(names, changes)
+        found = experiments.variants(names, changes_from(vary, seconds))
     except ProblemsError as error:
-        _bad(error)
+        bad_input(error)
     if only_plan:
         for variant in found:
-            _print_plan(plans.make(variant.scenario, seed))
+            print_plan(plans.make(variant.scenario, seed))
         return
     folder = out or Path(tempfile.mkdtemp(prefix="rosewheel-"))
     folder.mkdir(parents=True, exist_ok=True)
@@ -281,7 +280,7 @@
             sys.exit(INTERRUPTED)
         summaries.append(summary)
         void = "  VOID: the emulator was late" if summary["void"] else ""
-        click.echo(f"  service {summary['service']:.3f}  rules {_rules(summary)}{void}", err=True)
+        click.echo(f"  service {summary['service']:.3f}  rules {rules_text(summary)}{void}", err=True)
     _conclude(folder, summaries)
 
 
@@ -295,10 +294,16 @@
     # One run's whole summary, or the table of several.
     last = summaries[0] if len(summaries) == 1 else {"runs": len(summaries)}
     services = {row.variant: round(row.service, 4) for row in rows}
-    _json({**last, "ok": good, "services": services, "report": str(page)})
+    json_line({**last, "ok": good, "services": services, "report": str(page)})
     sys.exit(0 if good else 1)
 
 
+def changes_from(vary: Sequence[str], seconds: float | None) -> list[tuple[str, Sequence[object]]]:
+    """What `--vary` and `--seconds` ask for; 2 where a text is not KEY=A,B."""
+    changes: list[tuple[str, Sequence[object]]] = [_change(text) for text in vary]
+    return changes if seconds is None else [*changes, ("seconds", [seconds])]
+
+
 def _change(text: str) -> tuple[str, list[object]]:
     key, equals, values = text.partition("=")
     if not equals or not key or not values:
@@ -307,6 +312,6 @@
     return key, [experiments.value(item) for item in values.split(",")]
 
 
-def _rules(summary: dict[str, Any]) -> str:
+def rules_text(summary: dict[str, Any]) -> str:
     broken = [name for name, what in summary["rules"].items() if what] + summary["crashed"]
     return "kept" if not broken else "BROKEN: " + ", ".join(broken)
--- a/rosewheel/lab/emulator.py
+++ b/rosewheel/lab/emulator.py
@@ -15,9 +15,9 @@
 from rosewheel.lab.catalog import Agent, Entry, Registry
 from rosewheel.lab.host import Fault, Host, Work
 from rosewheel.lab.nodes import NodeProcess, settings
-from rosewheel.lab.plan import Plan, Step
+from rosewheel.lab.plan import Plan, Step, stretches, told_after_ms
 from rosewheel.lab.records import Writer
-from rosewheel.lab.streams import lognormal, stream
+from rosewheel.lab.streams import stream
 from rosewheel.lab.wire import Answered, Asked, Asking, Peer, now_ms
 
 SAMPLE_S = 0.5
@@ -204,20 +204,10 @@
         return task
 
     def _registry(self, tier: int) -> Registry:
-        table, seed = self.plan.scenario.discovery, self.plan.seed
-        rng = stream(seed, "run", "discovery", tier)
-        of = {
-            "add": table.add_ms,
-            "drain": table.notice_ms,
-            "stop": table.notice_ms,
-            "silent": table.silent_ms,
-        }
+        rng = stream(self.plan.seed, "run", "discovery", tier)
 
         def delay(change: str, _node: str) -> float:
-            value = table.spread_ms if change == "spread" else of[change]
-            if change == "spread":
-                return float(rng.uniform(0.0, value[1] if isinstance(value, tuple) else value))
-            return float(rng.uniform(*value)) if isinstance(value, tuple) else value
+            return told_after_ms(self.plan.scenario, rng, change)
 
         return Registry(delay, self._told)
 
@@ -247,20 +237,15 @@
         except ValueError:
             asked.connection.answer(400)
             return None
-        own = total * self.plan.scenario.tiers[spec.tier].work * lognormal(self._noise, figures.attempt_noise)
-        calls = 0
-        if spec.tier + 1 < len(self.plan.scenario.tiers):
-            mean = self.plan.calls[spec.tier + 1]
-            calls = int(mean) + int(self._calls.random() < mean - int(mean))
-        stretches = (own,) if not calls else (own / 2.0, *([0.0] * (calls - 1)), own / 2.0)
+        work_ms = stretches(self.plan, spec, figures, total, (self._noise, self._calls))
         if asked.first_on_connection:
-            stretches = (stretches[0] + spec.handshake_ms, *stretches[1:])
+            work_ms = (work_ms[0] + spec.handshake_ms, *work_ms[1:])
         self._next += 1
         key = asked.header(b"idempotency-key") if table.effect == "keyed" else ""
         node = asked.header(b"lab-node")
         # A caller may only be held to the start that it has been told of; without a name it was told.
         health = self.told.get((node, spec.name), ("active", 0.0))[0]
-        job = model.Job(self._next, stretches, f"{service}/{key}" if key else None, table.memory_ms)
+        job = model.Job(self._next, work_ms, f"{service}/{key}" if key else None, table.memory_ms)
         job.told = not node or (node, spec.name) in self.told
         op = asked.header(b"lab-op") or rid
         work = Work(host, asked, job, service, node, op, asked.came_ms + patience, total)
@@ -391,6 +376,9 @@
                 for registry in self.registries:
                     for agent in registry.agents.values():
                         agent.break_off()
+            case "discovery-storm":
+                for host in on:
+                    self._list(host, "storm", "leaving" if step.what == "away" else "active")
             case "faults":
                 self._fault_step(step, begins)
             case "crash":
--- a/rosewheel/lab/equipo.py
+++ b/rosewheel/lab/equipo.py
@@ -244,7 +244,8 @@
 
     def report(self, now: float) -> float:
         """The queue as it tells it: refreshed now and then, late and noisy."""
-        self._advance(max(self._now, min(now, self.due())))
+        if now > self._now:
+            self._advance(max(self._now, min(now, self.due())))
         while len(self._reports) > 1 and self._reports[1][0] <= now:
             self._reports.popleft()
         return self._reports[0][1]
--- a/rosewheel/lab/ledger.py
+++ b/rosewheel/lab/ledger.py
@@ -1,7 +1,8 @@
 """The rules, read off a run's records: one final answer, nothing unsafe twice, drains kept, nothing cold tipped.
 
-Records of clients and of equipos are joined by request id and by the identity of what a client wished. It reads
-files and decides nothing while a run is on.
+Records of clients and of equipos are joined by request id and by the identity of what a client wished. A ledger takes
+one record at a time, in whatever order the two sides come, and keeps of each only what a later one may need; it decides
+nothing while a run is on.
 """
 
 from __future__ import annotations
@@ -11,8 +12,8 @@
 from pathlib import Path
 from typing import Any
 
-from rosewheel.lab.load import REFUSALS, SLACK_MS
 from rosewheel.lab.records import read
+from rosewheel.lab.retry import REFUSALS, SLACK_MS
 from rosewheel.lab.scenario import Scenario
 
 TOLD_SHARE = 2.0 / 3.0  # of the load that tipped a cold equipo, from those who knew: then the nodes did it
@@ -47,66 +48,95 @@
         }
 
 
-def audit(scenario: Scenario, folder: Path) -> Broken:
-    """What the records of a run say of the rules."""
-    broken = Broken()
-    effects = {row.name: row.effect for row in scenario.classes}
-    ops: dict[str, list[dict[str, Any]]] = {}
-    # A node that was killed owes nothing; what it had taken is its clients' to repeat.
-    killed: dict[str, list[float]] = defaultdict(list)
-    for row in read(folder / "run.jsonl"):
-        if row.get("e") == "killed":
-            killed[row["node"]].append(row["t"])
-    for row in read(folder / "load.jsonl"):
-        if row["e"] == "op":
-            ops[row["op"]] = row["tries"]
-            for item in row["tries"]:
-                _answers(item, killed, broken)
-        elif row["e"] == "clients":
-            broken.double += row["surplus"]
-    ran: dict[str, list[dict[str, Any]]] = defaultdict(list)
-    cells: dict[str, set[int]] = defaultdict(set)
-    for row in read(folder / "equipos.jsonl"):
-        match row["e"]:
+@dataclass(slots=True)
+class _Silence:
+    """A try that ended without an answer: excused if its node was killed just then."""
+
+    rid: str
+    node: str
+    sent: float
+    ended: float
+
+
+class Ledger:
+    def __init__(self, scenario: Scenario) -> None:
+        self.effects = {row.name: row.effect for row in scenario.classes}
+        self.narrow = any(row.effect == "keyed" and row.group == "cell" for row in scenario.classes)
+        self.fell = 0  # cold equipos pushed over, by whomever
+        self._broken = Broken()
+        self._silent: list[_Silence] = []
+        self._killed: dict[str, list[float]] = defaultdict(list)
+        self._resent: set[str] = set()  # rids that a client itself sent once more
+        self._refused: set[str] = set()  # rids of clients that were refused
+        self._ran: dict[str, list[str]] = {}  # unsafe: by wish, the rids under which its work began
+        self._cells: dict[str, int] = {}  # keyed: by rid, the grupo where its work began
+        self._astray: dict[str, None] = {}
+
+    def take(self, row: dict[str, Any]) -> None:
+        match row.get("e"):
+            case "op":
+                for item in row["tries"]:
+                    self._answers(item)
             case "job" if row["ran"]:
-                if effects[row["class"]] == "unsafe":
-                    ran[row["op"]].append(row)
-                elif effects[row["class"]] == "keyed":
-                    cells[row["rid"]].add(row["cell"])
+                self._job(row)
+            case "killed":
+                # A node that was killed owes nothing; what it had taken is its clients' to repeat.
+                self._killed[row["node"]].append(row["t"])
+            case "clients":
+                self._broken.double += row["surplus"]
             case "late":
-                broken.late.append(row)
-            case "fell" if row["told_share"] >= TOLD_SHARE:
-                broken.tipped.append(row["equipo"])
-    for op, jobs in ran.items():
-        if len(jobs) > 1 and not _by_the_client(ops.get(op, []), jobs):
-            broken.twice.append(op)
-    # What a client sent once more itself, because its node was killed with it, no node can have kept together.
-    resent = {item["rid"] for tries in ops.values() for item in tries if item.get("resent")}
-    astray = [rid for rid, where in cells.items() if len(where) > 1 and rid not in resent]
-    broken.strayed = astray if _narrow(scenario) else []
-    return broken
-
-
-def _narrow(scenario: Scenario) -> bool:
-    return any(row.effect == "keyed" and row.group == "cell" for row in scenario.classes)
-
-
-def _answers(item: dict[str, Any], killed: dict[str, list[float]], broken: Broken) -> None:
-    if item.get("foreign"):
-        broken.foreign.append(item["rid"])
-    if item["status"]:
-        if item["ended"] - item["sent"] > item["patience"] + SLACK_MS:
-            broken.unanswered.append(item["rid"])
-        return
-    if item.get("why") == "unreachable":
-        return
-    if not any(item["sent"] - 1.0 <= at <= item["ended"] + 1.0 for at in killed.get(item["node"], ())):
-        broken.unanswered.append(item["rid"])
-
-
-def _by_the_client(tries: list[dict[str, Any]], jobs: list[dict[str, Any]]) -> bool:
-    """Whether the client itself repeated it where no refusal had said that this was harmless."""
-    rids = {job["rid"] for job in jobs}
-    if len(rids) < len(jobs):  # one try ran twice
-        return any(item.get("resent") for item in tries if item["rid"] in rids)
-    return not any(item["status"] in REFUSALS for item in tries if item["rid"] in rids)
+                self._broken.late.append(row)
+            case "fell":
+                self.fell += 1
+                if row["told_share"] >= TOLD_SHARE:
+                    self._broken.tipped.append(row["equipo"])
+
+    def close(self) -> Broken:
+        """What all that was taken says of the rules."""
+        for one in self._silent:
+            if not any(one.sent - 1.0 <= at <= one.ended + 1.0 for at in self._killed.get(one.node, ())):
+                self._broken.unanswered.append(one.rid)
+        for op, rids in self._ran.items():
+            if len(rids) > 1 and not self._by_the_client(rids):
+                self._broken.twice.append(op)
+        # What a client sent once more itself, because its node was killed with it, no node can have kept together.
+        if self.narrow:
+            self._broken.strayed = [rid for rid in self._astray if rid not in self._resent]
+        self._silent.clear()
+        self._ran.clear()
+        return self._broken
+
+    def _job(self, row: dict[str, Any]) -> None:
+        effect, rid = self.effects[row["class"]], row["rid"]
+        if effect == "unsafe":
+            self._ran.setdefault(row["op"], []).append(rid)
+        elif effect == "keyed" and self.narrow and self._cells.setdefault(rid, row["cell"]) != row["cell"]:
+            self._astray[rid] = None
+
+    def _answers(self, item: dict[str, Any]) -> None:
+        if item.get("foreign"):
+            self._broken.foreign.append(item["rid"])
+        if item.get("resent"):
+            self._resent.add(item["rid"])
+        if item["status"] in REFUSALS:
+            self._refused.add(item["rid"])
+        if item["status"]:
+            if item["ended"] - item["sent"] > item["patience"] + SLACK_MS:
+                self._broken.unanswered.append(item["rid"])
+        elif item.get("why") != "unreachable":
+            self._silent.append(_Silence(item["rid"], item["node"], item["sent"], item["ended"]))
+
+    def _by_the_client(self, rids: list[str]) -> bool:
+        """Whether the client itself repeated it where no refusal had said that this was harmless."""
+        if len(set(rids)) < len(rids):  # one try ran twice
+            return any(rid in self._resent for rid in rids)
+        return not any(rid in self._refused for rid in rids)
+
+
+def audit(scenario: Scenario, folder: Path) -> Broken:
+    """What the records of a run say of the rules."""
+    ledger = Ledger(scenario)
+    for name in ("run", "load", "equipos"):
+        for row in read(folder / f"{name}.jsonl"):
+            ledger.take(row)
+    return ledger.close()
--- a/rosewheel/lab/load.py
+++ b/rosewheel/lab/load.py
@@ -17,13 +17,12 @@
 from rosewheel.lab.nodes import health
 from rosewheel.lab.plan import Arrival, Plan
 from rosewheel.lab.records import Writer
+from rosewheel.lab.retry import SLACK_MS, Verdict, wait_ms
 from rosewheel.lab.scenario import ClassTable
 from rosewheel.lab.streams import stream
 from rosewheel.lab.wire import Address, Answered, Asking, Peer, now_ms
 
-REFUSALS = (429, 503)
 HEALTH_S = 0.1  # how often the front looks after its nodes
-SLACK_MS = 50.0  # an answer may be this late to its caller's patience
 
 
 class Front:
@@ -33,6 +32,9 @@
         self.nodes, self.notice_ms = nodes, notice_ms
         self.peers = {name: Peer(address) for name, address in nodes.items()}
         self.up = dict.fromkeys(nodes, True)
+        self.only: tuple[
+            str, ...
+        ] = ()  # if any: the nodes that all clients are dealt to, as a trouble wants it
         self._since: dict[str, float] = {}
         self._task: asyncio.Task[None] | None = None
 
@@ -47,7 +49,8 @@
 
     def choices(self) -> list[str]:
         """Those it deals to; all, where it believes that none lives."""
-        return [name for name, up in self.up.items() if up] or list(self.nodes)
+        wanted = self.only or tuple(self.nodes)
+        return [name for name in wanted if self.up[name]] or list(wanted)
 
     async def _watch(self) -> None:
         while True:
@@ -115,17 +118,14 @@
 
     def _again(self, answered: Answered) -> bool:
         """Whether another try follows, and when."""
-        load, clients = self.load, self.load.plan.scenario.clients
-        if len(self.tries) > clients.retries or load.stopping:
+        load = self.load
+        if load.stopping:
             return False
-        harmless = answered.status in REFUSALS or answered.why == "unreachable"
-        anew = self.table.effect == "safe" or (self.table.effect == "keyed" and self.table.group == "all")
+        verdict = Verdict(answered.status, answered.why, answered.retry_after_s)
         spent = now_ms() - load.t0 - self.arrival.at_ms
-        if not (harmless or anew) or spent >= self.table.give_up_ms:
+        wait = wait_ms(load.plan, self.table, verdict, len(self.tries), spent, load.random, load.storm)
+        if wait is None:
             return False
-        wait = load.plan.backoff_ms * 2.0 ** (len(self.tries) - 1) * load.random.uniform(0.5, 1.5)
-        if answered.retry_after_s is not None and load.random.random() < load.plan.honour:
-            wait = max(wait, answered.retry_after_s * 1000.0)
         load.later(wait, self.try_once)
         return True
 
@@ -147,6 +147,7 @@
         ] = []  # of each wish: planned moment, asked, served in time
         self.open: set[Op] = set()
         self.stopping = False
+        self.storm = 0  # tries more than usual, while a retry storm lasts
         self.lag_max_ms = 0.0
         self._at = 0
         self._done = asyncio.Event()
--- a/rosewheel/lab/plan.py
+++ b/rosewheel/lab/plan.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import hashlib
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -15,7 +16,7 @@
 
 from rosewheel.lab.equipo import Choke, Spec
 from rosewheel.lab.scenario import KindTable, Range, Scenario, TierTable, TroubleTable
-from rosewheel.lab.streams import stream
+from rosewheel.lab.streams import lognormal, stream
 
 
 @dataclass(slots=True, frozen=True)
@@ -30,12 +31,13 @@
 
 @dataclass(slots=True, frozen=True)
 class Step:
-    """One moment of a trouble: `begin` and `end` for most; `drain`, `stop` and `start` within a deploy."""
+    """One moment of a trouble: `begin` and `end` for most; `drain`, `stop` and `start` within a deploy, `away` and
+    `back` within a storm of discovery."""
 
     at_ms: float
     trouble: int  # its place in the scenario
     what: str
-    equipos: tuple[str, ...] = ()
+    equipos: tuple[str, ...] = ()  # or nodes, of the troubles of several nodes
     size: float = 0.0
     part: float = 0.0
 
@@ -127,6 +129,40 @@
     )
 
 
+def told_after_ms(scenario: Scenario, rng: np.random.Generator, change: str) -> float:
+    """How long until discovery tells a change of this kind: `add`, `drain`, `stop`, `silent`, or `storm` for one
+    that it makes up itself. `spread`: how much later than the first one a node hears of it."""
+    table = scenario.discovery
+    if change == "spread":
+        most = table.spread_ms[1] if isinstance(table.spread_ms, tuple) else table.spread_ms
+        return float(rng.uniform(0.0, most))
+    value = {
+        "add": table.add_ms,
+        "drain": table.notice_ms,
+        "stop": table.notice_ms,
+        "silent": table.silent_ms,
+        "storm": 0.0,
+    }[change]
+    return float(rng.uniform(*value)) if isinstance(value, tuple) else value
+
+
+def stretches(
+    plan: Plan,
+    spec: Spec,
+    service: ClassFigures,
+    total_ms: float,
+    rngs: tuple[np.random.Generator, np.random.Generator],
+) -> tuple[float, ...]:
+    """The work of a request at one equipo: stretches with a call to the next tier between each two. `rngs`: of the
+    attempt's noise, and of how often it calls."""
+    own = total_ms * plan.scenario.tiers[spec.tier].work * lognormal(rngs[0], service.attempt_noise)
+    calls = 0
+    if spec.tier + 1 < len(plan.scenario.tiers):
+        mean = plan.calls[spec.tier + 1]
+        calls = int(mean) + int(rngs[1].random() < mean - int(mean))
+    return (own,) if not calls else (own / 2.0, *([0.0] * (calls - 1)), own / 2.0)
+
+
 def _drawn(value: Range, seed: int, *names: object) -> float:
     if not isinstance(value, tuple):
         return float(value)
@@ -248,8 +284,8 @@
         row, table = classes[pick], scenario.classes[pick]
         factor = 1.0
         if table.distribution == "lognormal" and row.cv > 0.0:
-            sigma = float(np.sqrt(np.log(1.0 + row.cv**2)))
-            factor = float(np.exp(sigma * unit[0][at] - sigma * sigma / 2.0))
+            sigma = math.sqrt(math.log(1.0 + row.cv**2))
+            factor = math.exp(sigma * float(unit[0][at]) - sigma * sigma / 2.0)
         elif table.distribution == "exp":
             factor = float(unit[1][at])
         yield Arrival(round(float(time), 3), row.name, round(row.work_ms * factor, 3), f"op-{seed}-{at}")
@@ -264,6 +300,8 @@
     for at, trouble in enumerate(scenario.troubles):
         tier = trouble.tier or scenario.tiers[0].name
         names = [spec.name for spec in equipos if scenario.tiers[spec.tier].name == tier]
+        if trouble.kind in ("node-loss", "front-shift"):
+            names = [f"n{number}" for number in range(scenario.nodes.count)]
         order = [names[pick] for pick in stream(seed, "trouble", at, "on").permutation(len(names))]
         on = tuple(order[: max(1, round(trouble.part * len(order)))])
         begin = trouble.at_s * 1000.0
@@ -273,6 +311,12 @@
             steps += _deploy(scenario, seed, at, trouble, equipos, on, len(names), (begin, end), later)
         elif trouble.kind == "neighbour":
             steps += _neighbour(seed, at, trouble, on, size, (begin, end))
+        elif trouble.kind == "discovery-storm":
+            times = max(1, round(size))
+            for number in range(times):
+                start = begin + (end - begin) * number / times
+                steps.append(Step(round(start, 3), at, "away", on))
+                steps.append(Step(round(start + (end - begin) / times / 2.0, 3), at, "back", on))
         else:
             steps.append(Step(begin, at, "begin", on, size, trouble.part))
             if end > begin:
--- /dev/null
+++ b/rosewheel/lab/retry.py
@@ -0,0 +1,49 @@
+"""What a client does with an answer, or with none: the same on sockets and in virtual time."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import numpy as np
+
+from rosewheel.lab.plan import Plan
+from rosewheel.lab.scenario import ClassTable
+
+REFUSALS = (429, 503)
+SLACK_MS = 50.0  # an answer may be this late to its caller's patience
+STORM_WAIT = 0.1  # of the usual wait, while a retry storm lasts
+
+
+@dataclass(slots=True, frozen=True)
+class Verdict:
+    """How a try ended for its client."""
+
+    status: int = 0  # 0: without an answer
+    why: str = ""  # without one: `unreachable` (nothing was taken), `broken`, `no answer`
+    retry_after_s: float | None = None
+
+
+def wait_ms(
+    plan: Plan,
+    table: ClassTable,
+    verdict: Verdict,
+    tries: int,
+    spent_ms: float,
+    rng: np.random.Generator,
+    storm: int = 0,
+) -> float | None:
+    """How long until the next try; None where the client leaves it at that. `storm`: so many tries more than usual,
+    and without much of a wait, as long as clients are beside themselves."""
+    clients = plan.scenario.clients
+    if tries > clients.retries + storm:
+        return None
+    harmless = verdict.status in REFUSALS or verdict.why == "unreachable"
+    anew = table.effect == "safe" or (table.effect == "keyed" and table.group == "all")
+    if not (harmless or anew) or spent_ms >= table.give_up_ms:
+        return None
+    wait = plan.backoff_ms * 2.0 ** (tries - 1) * float(rng.uniform(0.5, 1.5))
+    if storm:
+        return wait * STORM_WAIT
+    if verdict.retry_after_s is not None and rng.random() < plan.honour:
+        wait = max(wait, verdict.retry_after_s * 1000.0)
+    return wait
--- a/rosewheel/lab/run.py
+++ b/rosewheel/lab/run.py
@@ -47,6 +47,9 @@
     gc.set_threshold(50_000, 50, 100)
 
 
+OURS = ("node-crash", "node-upgrade", "node-loss", "front-shift", "retry-storm")  # not the emulator's
+
+
 class Run:
     """`execute` plays the plan once and leaves its records in `folder`."""
 
@@ -76,7 +79,7 @@
             timers = [
                 loop.call_later(max(0.0, (t0 + step.at_ms - now_ms()) / 1000.0), self._step, step, t0)
                 for step in self.plan.steps
-                if self.plan.scenario.troubles[step.trouble].kind.startswith("node-")
+                if self.plan.scenario.troubles[step.trouble].kind in OURS
             ]
             flush = loop.create_task(self._flush(with_load, t0))
             try:
@@ -171,11 +174,18 @@
     # --------------------------------------------------------------- troubles
 
     def _step(self, step: Step, t0: float) -> None:
-        trouble = self.plan.scenario.troubles[step.trouble]
-        name = list(self.nodes)[trouble.node]
-        if step.what == "begin":
+        trouble, begins = self.plan.scenario.troubles[step.trouble], step.what == "begin"
+        if trouble.kind in ("front-shift", "retry-storm"):
+            assert self.load is not None
+            if trouble.kind == "front-shift":
+                self.load.front.only = step.equipos if begins else ()
+            else:
+                self.load.storm = round(step.size) if begins else 0
+            return
+        names = step.equipos if trouble.kind == "node-loss" else (list(self.nodes)[trouble.node],)
+        for name in names if begins else ():
             self.records.write({"e": trouble.kind, "t": round(now_ms() - t0, 1), "node": name})
-            crash = trouble.kind == "node-crash"
+            crash = trouble.kind != "node-upgrade"
             work = (
                 self._crash(name, self._length_s(step), t0)
                 if crash
--- a/rosewheel/lab/scenario.py
+++ b/rosewheel/lab/scenario.py
@@ -38,9 +38,15 @@
     "node-crash",
     "node-upgrade",
     "surge",
+    "node-loss",
+    "discovery-storm",
+    "front-shift",
+    "retry-storm",
 ]
 FAULTS = Literal["refuse", "reset", "silence", "delay", "half", "spoilt"]
-NEEDS_SIZE = ("slow", "neighbour", "deploy", "discovery-lag", "surge")
+# Without an end: an equipo stays away, a node is started again at once.
+ENDLESS = ("crash", "node-crash", "node-upgrade", "node-loss")
+NEEDS_SIZE = ("slow", "neighbour", "deploy", "discovery-lag", "surge", "discovery-storm", "retry-storm")
 
 
 class Table(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -178,6 +184,9 @@
     second_copies: bool = True
     cancel: bool = True
     keeps: bool = True  # a node that starts again finds what the one before it had learned
+    spread_s: Natural = (
+        2.0  # `simulate`: over how long the nodes' starts are spread, and with them their periods
+    )
 
     def __post_init__(self) -> None:
         self._ordered("notice_ms")
@@ -207,9 +216,12 @@
     at_s: Natural
     for_s: Range = 0.0
     tier: str = ""  # whose equipos; empty: the first tier
-    part: Share = 1.0  # of the tier's equipos; of the connections for `faults`
+    # of the tier's equipos; of the connections for `faults`; of the front's nodes for `node-loss` (those that die) and
+    # `front-shift` (those that all clients are dealt to)
+    part: Share = 1.0
     size: Range = 0.0  # slow: times slower. neighbour: share taken. deploy: share of a tier at a time.
-    # discovery-lag: seconds. surge: factor of the load.
+    # discovery-lag: seconds. surge: factor of the load. discovery-storm: how often all are told as leaving and as
+    # back, each time at once. retry-storm: tries more than usual, and without much of a wait.
     on_s: Range = (1.2, 4.5)  # neighbour: how long it is on, or off, at a time
     drain_s: Range = (3.6, 5.6)  # deploy: from the drain to the stop
     boot_s: Range = 1.0  # deploy: from the drain to the start of what follows
@@ -275,7 +287,7 @@
             raise KeyedError(f"{path}.tier", f"no tier is called {trouble.tier!r}")
         if trouble.kind in ("node-crash", "node-upgrade") and trouble.node >= self.nodes.count:
             raise KeyedError(f"{path}.node", f"there are {self.nodes.count} nodes, counted from 0")
-        if trouble.kind not in ("crash", "node-crash", "node-upgrade") and _top(trouble.for_s) == 0.0:
+        if trouble.kind not in ENDLESS and _top(trouble.for_s) == 0.0:
             raise KeyedError(f"{path}.for_s", "it lasts no time")
 
 
--- /dev/null
+++ b/rosewheel/lab/virtual/discovery.py
@@ -0,0 +1,104 @@
+"""Discovery of a simulated run: the truth of one tier, and an agent for each node that learns of it late."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+
+import numpy as np
+
+from rosewheel.decide.interface import ListForm, Server, ServerState
+from rosewheel.lab.plan import Plan, told_after_ms
+from rosewheel.lab.virtual.events import Queue
+from rosewheel.lab.virtual.network import HOP_MS
+from rosewheel.lab.virtual.node import VirtualNode
+from rosewheel.relay.relay import REWATCH_MAX_S, REWATCH_S
+
+Told = Callable[[str, Server], None]
+
+
+class Agent:
+    """What stands on a node's machine. What it has learned counts as told when it is written to an open watch."""
+
+    def __init__(self, queue: Queue, node: VirtualNode, truth: dict[str, Server], told: Told) -> None:
+        self.queue, self.node, self._told = queue, node, told
+        self.entries = dict(truth)
+        self.news: list[Server] = []  # learned and not told yet
+        self.stalled = False
+        self.open = True
+        self.free_ms = 0.0  # changes come in order: none is learned before this
+
+    def learn(self, entry: Server) -> None:
+        if entry.state is ServerState.REMOVED:
+            self.entries.pop(entry.address, None)
+        else:
+            self.entries[entry.address] = entry
+        self.news.append(entry)
+        self.tell()
+
+    def tell(self) -> None:
+        if self.stalled or not self.open or not self.news:
+            return
+        news, self.news = self.news, []
+        for entry in news:
+            self._told(self.node.name, entry)
+        self.queue.after(HOP_MS, self.node.heard, ListForm.DELTA, tuple(news))
+
+    def reopen(self, wait_ms: float) -> None:
+        """The watch is gone and comes back after this, going on where it was."""
+        self.open = False
+        self.queue.after(wait_ms, self._opened)
+
+    def _opened(self) -> None:
+        self.open = True
+        self.tell()
+
+
+class Registry:
+    """All agents of the nodes that send to one tier."""
+
+    def __init__(self, queue: Queue, plan: Plan, told: Told, rng: np.random.Generator) -> None:
+        self.queue, self.plan, self.rng, self._told = queue, plan, rng, told
+        self.truth: dict[str, Server] = {}
+        self.agents: dict[VirtualNode, Agent] = {}
+        self.behind_ms = 0.0  # how much further behind it is, by a trouble
+
+    def add(self, node: VirtualNode) -> None:
+        """A node that begins with the list as it is now."""
+        self.agents[node] = agent = Agent(self.queue, node, self.truth, self._told)
+        node.heard(ListForm.CACHED, tuple(agent.entries.values()))
+
+    def drop(self, node: VirtualNode) -> None:
+        self.agents.pop(node, None)
+
+    def set(self, entry: Server, change: str) -> None:
+        """The truth has changed; `change` tells the delay."""
+        if entry.state is ServerState.REMOVED:
+            self.truth.pop(entry.address, None)
+        else:
+            self.truth[entry.address] = entry
+        base = self.queue.now + told_after_ms(self.plan.scenario, self.rng, change) + self.behind_ms
+        for agent in self.agents.values():
+            due = max(agent.free_ms, base + told_after_ms(self.plan.scenario, self.rng, "spread"))
+            agent.free_ms = due
+            self.queue.at(due, self._learn, agent, entry)
+
+    def restate(self, name: str, state: ServerState, change: str) -> None:
+        """The same server in another state; one that the list does not have is left out."""
+        entry = self.truth.get(name)
+        if entry is not None and entry.state is not state:
+            self.set(dataclasses.replace(entry, state=state), change)
+
+    def _learn(self, agent: Agent, entry: Server) -> None:
+        if not agent.node.dead:
+            agent.learn(entry)
+
+    def stall(self, on: bool) -> None:
+        for agent in self.agents.values():
+            agent.stalled = on
+            if not on:  # its node had given the watch up and tries again now and then
+                agent.reopen(float(self.rng.uniform(0.0, REWATCH_MAX_S)) * 1000.0)
+
+    def break_off(self) -> None:
+        for agent in self.agents.values():
+            agent.reopen(float(self.rng.uniform(0.6, 1.0)) * REWATCH_S * 1000.0)
--- /dev/null
+++ b/rosewheel/lab/virtual/host.py
@@ -0,0 +1,233 @@
+"""An equipo of a simulated run: the model of `equipo.py` with its connections and faults, without a socket."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import Protocol
+
+import numpy as np
+
+from rosewheel.decide.interface import Result
+from rosewheel.lab import equipo as model
+from rosewheel.lab.virtual.events import Queue
+from rosewheel.lab.virtual.network import HOP_MS, Exchange, Link
+
+Report = dict[str, float]
+
+
+@dataclass(slots=True, frozen=True)
+class Fault:
+    """What befalls a share of the connections while a trouble lasts."""
+
+    how: str
+    part: float
+    delay_ms: float
+    rng: np.random.Generator
+
+
+@dataclass(slots=True, eq=False)
+class Work:
+    """A request that an equipo works on."""
+
+    host: Host
+    link: Link
+    exchange: Exchange
+    job: model.Job
+    came_ms: float
+    deadline_ms: float
+    wanted: bool = True  # False: whoever asked has gone
+
+
+class Owner(Protocol):
+    """What a host needs of its world."""
+
+    queue: Queue
+
+    def take(self, host: Host, link: Link, exchange: Exchange) -> Work: ...
+    def act(self, host: Host, acts: list[model.Action]) -> None: ...
+
+
+class Host:
+    def __init__(
+        self,
+        owner: Owner,
+        spec: model.Spec,
+        memory: model.Memory,
+        rng: np.random.Generator,
+        cold: bool,
+        reports: bool,
+    ) -> None:
+        self.owner, self.spec, self.memory, self.rng, self.reports = owner, spec, memory, rng, reports
+        self.queue = owner.queue
+        self.model = model.Equipo(spec, memory, rng, self.queue.now, cold)
+        self.listening = False
+        self.vanished = False
+        self.links: dict[Link, None] = {}  # in the order in which they came
+        self.work: dict[int, Work] = {}
+        self.faults: dict[int, Fault] = {}  # by trouble
+        self.since_ms = self.queue.now  # when it was last started,
+        self.up_ms = 0.0  # and for how long it had run before
+        self.worked = 0.0  # work done by the models before this one
+        self._armed = math.inf  # when the queue wakes it
+        self._due = self.model.due()  # the model's next moment, as of its last event
+
+    # ----------------------------------------------------------- connections
+
+    def made(self, link: Link) -> None:
+        self.links[link] = None
+        link.silent = self.vanished
+        for fault in self.faults.values():
+            self._befall(link, fault)
+        self.catch_up()
+        self.model.connect(self.queue.now)
+        self.arm()
+
+    def lost(self, link: Link) -> None:
+        """Its node has closed it, or is gone."""
+        if link not in self.links:
+            return
+        del self.links[link]
+        if link.work is not None:
+            link.work.wanted = False  # a cancel or a time-out stops no work
+        self.catch_up()
+        self.model.disconnect(self.queue.now)
+        self.arm()
+
+    def asked(self, link: Link, exchange: Exchange) -> None:
+        if link.dead or link.silent or link not in self.links:
+            return
+        if link.fault is not None and link.fault.how == "reset":
+            self.break_off(link)
+            return
+        if self.model.connected > self.spec.connections:
+            self._answer(link, exchange, Result.FULL, keep=False)
+            return
+        work = self.owner.take(self, link, exchange)
+        link.work = self.work[work.job.id] = work
+        self.catch_up()
+        self.owner.act(self, self.model.arrive(self.queue.now, work.job))
+        self.arm()
+
+    def reply(self, work: Work, verdict: model.Verdict) -> None:
+        """Answer a request, through whatever fault its connection has."""
+        link = work.link
+        if link.work is work:
+            link.work = None
+        if not work.wanted or link.dead or link.silent:
+            return
+        result = {
+            model.Verdict.SERVED: Result.OK,
+            model.Verdict.ERROR: Result.ERROR,
+            model.Verdict.TURNED_AWAY: Result.FULL,
+        }[verdict]
+        how = link.fault.how if link.fault is not None else ""
+        if how == "delay" and link.fault is not None:
+            self.queue.after(link.fault.delay_ms, self._answer, link, work.exchange, result)
+        elif how in ("half", "spoilt"):
+            self._answer(link, work.exchange, Result.RESET, keep=False)
+        else:
+            self._answer(link, work.exchange, result)
+
+    def _answer(self, link: Link, exchange: Exchange, result: Result, keep: bool = True) -> None:
+        if link.dead or link.silent:
+            return
+        told = result is not Result.RESET and self.reports
+        report = {"queue": round(self.model.report(self.queue.now), 3)} if told else None
+        self.queue.after(HOP_MS, link.node.returned, exchange, result, report, keep)
+
+    def probe(self) -> tuple[Result, Report | None]:
+        """A health call: nothing vanished answers one, nor what does not listen."""
+        self.catch_up()
+        up = self.model.probe(self.queue.now)
+        self.arm()
+        report = {"queue": round(self.model.report(self.queue.now), 3)} if self.reports else None
+        return (Result.OK if up else Result.ERROR), report
+
+    def break_off(self, link: Link) -> None:
+        """Reset a connection."""
+        if link not in self.links:
+            return
+        del self.links[link]
+        link.dead = True
+        if link.work is not None:
+            link.work.wanted = False
+        self.model.disconnect(self.queue.now)
+        self.queue.after(HOP_MS, link.node.broken, link)
+
+    # --------------------------------------------------------------- troubles
+
+    def begin_fault(self, number: int, fault: Fault) -> None:
+        """From now on this befalls its share of the connections, those that are open included."""
+        self.faults[number] = fault
+        for link in self.links:
+            self._befall(link, fault)
+
+    def end_fault(self, number: int) -> None:
+        """New connections are well again; those that it befell stay as they are until they are closed."""
+        self.faults.pop(number, None)
+
+    @staticmethod
+    def _befall(link: Link, fault: Fault) -> None:
+        if link.fault is None and fault.rng.random() < fault.part:
+            link.fault = fault
+            link.silent = fault.how == "silence"
+
+    def vanish(self) -> None:
+        """The machine is cut off: what is open says nothing any more, what is new never comes up."""
+        self.vanished = True
+        for link in self.links:
+            link.silent = True
+
+    def reappear(self) -> None:
+        """It is back: connections from before are reset."""
+        self.vanished = False
+        for link in list(self.links):
+            link.silent = False
+            self.break_off(link)
+
+    def die(self) -> None:
+        """The process is gone: connections reset, new ones refused, and all it held with it."""
+        self.model.stop(self.queue.now)
+        if self.listening:
+            self.up_ms += self.queue.now - self.since_ms
+        self.listening = False
+        self.work.clear()
+        for link in list(self.links):
+            self.break_off(link)
+
+    def start(self, cold: bool) -> None:
+        """A new process under the same name."""
+        self.worked += self.model.done_work
+        self.model = model.Equipo(self.spec, self.memory, self.rng, self.queue.now, cold)
+        self.listening, self.vanished, self.since_ms = True, False, self.queue.now
+        self._armed = math.inf
+        self.arm()
+
+    def share(self, now: float) -> float:
+        """The work it has done so far, as a share of what all its cores could have, warm and by themselves."""
+        up = self.up_ms + (now - self.since_ms if self.listening else 0.0)
+        worked = self.worked + self.model.done_work
+        return worked / (up * self.spec.cores * self.spec.speed) if up > 0.0 else 0.0
+
+    # ------------------------------------------------------------------ timer
+
+    def arm(self) -> None:
+        """After each event: one event of the queue, at the model's next moment or earlier."""
+        self._due = due = self.model.due()
+        if due < self._armed:
+            self._armed = due
+            self.queue.at(due, self._tick, due)
+
+    def catch_up(self) -> None:
+        """What is due before whatever has just come."""
+        if self._due <= self.queue.now:
+            self.owner.act(self, self.model.tick(self.queue.now))
+            self._due = self.model.due()
+
+    def _tick(self, meant: float) -> None:
+        if meant != self._armed:  # an earlier one has been set since
+            return
+        self._armed = math.inf
+        self.catch_up()
+        self.arm()
--- /dev/null
+++ b/rosewheel/lab/virtual/network.py
@@ -0,0 +1,56 @@
+"""What lies between the parts of a simulated run: connections, and how long a way takes.
+
+A connection is held by a node to an equipo. Its node knows what it sends and hears; its host knows whether it still
+stands. Either may end it, and the other learns of that one way later.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from rosewheel.lab.virtual.host import Fault, Host, Work
+    from rosewheel.lab.virtual.node import Call, VirtualNode
+
+# One way, with the work of both its ends: a request through an idle node on loopback takes under a millisecond more
+# than at the equipo alone, there and back over two links.
+HOP_MS = 0.2
+
+
+@dataclass(slots=True, eq=False)
+class Link:
+    """An open connection."""
+
+    host: Host
+    node: VirtualNode
+    idle_since: float = 0.0
+    closed: bool = False  # by its node
+    dead: bool = False  # by its host
+    silent: bool = False  # a fault: whatever is sent, nothing is said
+    fault: Fault | None = None
+    used: int = 0  # requests so far
+    work: Work | None = None  # what the host works on for it
+    exchange: Exchange | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """An attempt on its way."""
+
+    call: Call
+    number: int
+    timeout_ms: float
+    began_ms: float
+    link: Link | None = None
+    over: bool = False  # given up by its node, or settled
+
+
+@dataclass(slots=True, eq=False)
+class Pool:
+    """What a node holds towards one equipo."""
+
+    up: bool
+    launched_ms: float | None
+    heard_ms: float = float("-inf")  # when it last said anything
+    idle: list[Link] = field(default_factory=list)  # the one used last at the end
--- /dev/null
+++ b/rosewheel/lab/virtual/node.py
@@ -0,0 +1,342 @@
+"""A node of a simulated run: the real `node` and `decide`, with connections that only exist here.
+
+What the program's HTTP side does with attempts is done here in the same order and by the same limits: pools that use
+the latest connection first, connections that come up, time out or are refused, servers that vanish, descriptors.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from rosewheel.decide.interface import ListForm, Request, Result, Server, ServerState, Settings
+from rosewheel.decide.learned import Learned
+from rosewheel.http.equipos import IDLE_PART, IDLE_SHARE, SETTLE_S, SILENT_S
+from rosewheel.lab.retry import Verdict
+from rosewheel.lab.virtual.events import Queue
+from rosewheel.lab.virtual.host import Host, Report
+from rosewheel.lab.virtual.network import HOP_MS, Exchange, Link, Pool
+from rosewheel.node.bounds import Bounds
+from rosewheel.node.core import (
+    SERVED,
+    Abort,
+    Answer,
+    Dispatch,
+    Effect,
+    Node,
+    StartProbe,
+    StartWatch,
+)
+from rosewheel.relay.relay import MARGIN_MS, SPARE
+
+SWEEP_MS = 2000.0  # how often idle connections are looked through for those that are too old
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A request at a node, and who waits for its answer."""
+
+    rid: str
+    service: str
+    op: str
+    work_ms: float
+    key: str
+    patience_ms: float
+    done: Callable[[Verdict], None]
+    abandoned: bool = False
+
+
+class Hosts(Protocol):
+    """What a node needs of its world."""
+
+    queue: Queue
+    hosts: dict[str, Host]
+
+    def answered_by(self, node: VirtualNode, exchange: Exchange, result: Result) -> None:
+        """How an attempt ended, as its node sees it."""
+
+
+class VirtualNode:
+    def __init__(
+        self, world: Hosts, name: str, tier: int, settings: Settings, bounds: Bounds, seed: int
+    ) -> None:
+        self.world, self.name, self.tier, self.bounds = world, name, tier, bounds
+        self.queue = world.queue
+        self.node = Node(settings, bounds, seed, self.queue.now)
+        self.calls: dict[str, Call] = {}
+        self.pools: dict[str, Pool] = {}
+        self.idle: dict[Link, None] = {}  # of all pools, the longest idle first
+        self.links: dict[Link, None] = {}
+        self.out: dict[tuple[str, int], Exchange] = {}
+        self.coming = 0  # connections that are coming up
+        self.most = max(8, bounds.sockets - SPARE)
+        self.dead = False
+        self.attempts = self.refused = 0
+        self._armed = math.inf
+        self.queue.after(SWEEP_MS, self._sweep)
+
+    # ----------------------------------------------------------------- callers
+
+    def ask(self, call: Call) -> None:
+        """A request of which the last byte has just been sent."""
+        self.queue.after(HOP_MS, self._asked, call)
+
+    def _asked(self, call: Call) -> None:
+        if self.dead:
+            self.queue.after(HOP_MS, call.done, Verdict(why="unreachable"))
+            return
+        if call.abandoned:
+            return
+        give_up = self.queue.now + max(1.0, call.patience_ms - MARGIN_MS)
+        self.calls[call.rid] = call
+        self.apply(self.node.request(self.queue.now, Request(call.rid, call.service, give_up)))
+
+    def abandon(self, call: Call) -> None:
+        """Whoever asked has closed the connection."""
+        call.abandoned = True
+        self.queue.after(HOP_MS, self._gone, call)
+
+    def _gone(self, call: Call) -> None:
+        if not self.dead and self.calls.get(call.rid) is call:
+            del self.calls[call.rid]
+            self.apply(self.node.client_gone(self.queue.now, call.rid))
+
+    # --------------------------------------------------------------- discovery
+
+    def heard(self, form: ListForm, servers: tuple[Server, ...]) -> None:
+        if self.dead:
+            return
+        if form is not ListForm.DELTA:
+            named = {server.address for server in servers}
+            for host in [host for host in self.pools if host not in named]:
+                self._retire(self.pools.pop(host))
+        for server in servers:
+            pool = self.pools.get(server.address)
+            if server.state is ServerState.REMOVED:
+                if pool is not None:
+                    pool.up = False
+                    self._retire(self.pools.pop(server.address))
+                continue
+            up = server.state is ServerState.UP
+            if pool is None:
+                self.pools[server.address] = Pool(up, server.launched_ms)
+                continue
+            if not up or pool.launched_ms != server.launched_ms:
+                self._retire(pool)
+            pool.up, pool.launched_ms = up, server.launched_ms
+        self.apply(self.node.members(self.queue.now, form, servers))
+
+    # ---------------------------------------------------------------- attempts
+
+    def apply(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case Dispatch():
+                    self._start(effect)
+                case Abort():
+                    self._abort(effect.id, effect.attempt)
+                case Answer():
+                    self._answer(effect)
+                case StartProbe():
+                    self._probe(effect.server)
+                case StartWatch():
+                    pass  # the watch on discovery is its agent's to keep
+        due = self.node.next_due()
+        if due is not None and due < self._armed:
+            self._armed = due
+            self.queue.at(due, self._tick, due)
+
+    def _tick(self, meant: float) -> None:
+        if self.dead or meant != self._armed:
+            return
+        self._armed = math.inf
+        self.apply(self.node.tick(self.queue.now))
+
+    def _answer(self, answer: Answer) -> None:
+        call = self.calls.pop(answer.id, None)
+        if call is None or call.abandoned:
+            return
+        if answer.status != SERVED:
+            self.refused += 1
+        retry_s = math.ceil(answer.retry_after_ms / 1000.0) if answer.retry_after_ms else None
+        self.queue.after(HOP_MS, call.done, Verdict(answer.status, "", retry_s))
+
+    def _start(self, effect: Dispatch) -> None:
+        call = self.calls.get(effect.id)
+        if call is None:
+            self.queue.after(0.0, self._ended, effect.id, effect.attempt, Result.CANCELLED, None)
+            return
+        self.attempts += 1
+        exchange = Exchange(call, effect.attempt, effect.timeout_ms, self.queue.now)
+        self.out[effect.id, effect.attempt] = exchange
+        pool = self.pools.get(effect.server)
+        if pool is not None and pool.up:
+            rested = self.queue.now - SETTLE_S * 1000.0
+            for link in reversed(pool.idle):
+                if link.idle_since <= rested:
+                    pool.idle.remove(link)
+                    del self.idle[link]
+                    self._send(link, exchange)
+                    return
+        self._open(effect.server, pool, exchange)
+
+    def _open(self, server: str, pool: Pool | None, exchange: Exchange) -> None:
+        host = self.world.hosts.get(server)
+        if pool is None or not pool.up or host is None or not self._room():
+            self.queue.after(0.0, self._failed, exchange)
+            return
+        self.coming += 1
+        wait = self.bounds.connect_timeout_ms if host.vanished else 2.0 * HOP_MS
+        self.queue.after(wait, self._opened, server, pool, host, exchange)
+
+    def _opened(self, server: str, pool: Pool, host: Host, exchange: Exchange) -> None:
+        self.coming -= 1
+        if self.dead or exchange.over:
+            return
+        # The server may have left, or moved, while the connection came up.
+        if host.vanished or not host.listening or self.pools.get(server) is not pool or not pool.up:
+            self._failed(exchange)
+            return
+        link = Link(host, self)
+        self.links[link] = None
+        host.made(link)
+        self._send(link, exchange)
+
+    def _failed(self, exchange: Exchange) -> None:
+        if not exchange.over:
+            exchange.over = True
+            self._settled(exchange, Result.CONNECT_FAILED, None)
+
+    def _send(self, link: Link, exchange: Exchange) -> None:
+        self.node.figures.tried()
+        link.exchange, exchange.link = exchange, link
+        link.used += 1
+        self.queue.after(HOP_MS, link.host.asked, link, exchange)
+
+    def returned(self, exchange: Exchange, result: Result, report: Report | None, keep: bool) -> None:
+        """An answer has come, or a connection has ended in its stead."""
+        link = exchange.link
+        if self.dead or exchange.over or link is None:
+            return
+        exchange.over, link.exchange = True, None
+        pool = self.pools.get(link.host.spec.name)
+        if pool is not None:
+            pool.heard_ms = self.queue.now
+        if keep and not link.dead and pool is not None and pool.up:
+            link.idle_since = self.queue.now
+            pool.idle.append(link)
+            self.idle[link] = None
+            if len(pool.idle) > max(2, self.bounds.sockets // IDLE_PART):
+                self._close(pool.idle.pop(0))
+        else:
+            self._close(link)
+        self._settled(exchange, result, report)
+
+    def broken(self, link: Link) -> None:
+        """Its server has reset it."""
+        if self.dead or link.closed:
+            return
+        pool = self.pools.get(link.host.spec.name)
+        if pool is not None and link in pool.idle:
+            pool.idle.remove(link)
+        self._close(link)
+        exchange, link.exchange = link.exchange, None
+        if exchange is not None and not exchange.over:
+            exchange.over = True
+            self._settled(exchange, Result.RESET, None)
+
+    def _settled(self, exchange: Exchange, result: Result, report: Report | None) -> None:
+        del self.out[exchange.call.rid, exchange.number]
+        self.world.answered_by(self, exchange, result)
+        self._ended(exchange.call.rid, exchange.number, result, report)
+
+    def _ended(self, rid: str, attempt: int, result: Result, report: Report | None) -> None:
+        if not self.dead:
+            self.apply(self.node.ended(self.queue.now, rid, attempt, result, report))
+
+    def _abort(self, rid: str, attempt: int) -> None:
+        """Give an attempt up by closing its connection; nothing more is heard of it."""
+        exchange = self.out.pop((rid, attempt), None)
+        if exchange is None or exchange.over:
+            return
+        exchange.over = True
+        self.world.answered_by(self, exchange, Result.CANCELLED)
+        link = exchange.link
+        if link is None:  # its connection is still coming up
+            return
+        link.exchange = None
+        pool = self.pools.get(link.host.spec.name)
+        self._close(link)
+        silent = self.queue.now - SILENT_S * 1000.0
+        if pool is not None and pool.heard_ms <= exchange.began_ms <= silent:
+            self._retire(pool)  # as the program does: its machine may have vanished
+
+    # ------------------------------------------------------------- connections
+
+    def _room(self) -> bool:
+        if len(self.links) + self.coming < self.most:
+            return True
+        oldest = next(iter(self.idle), None)
+        if oldest is None:
+            return False
+        self.pools[oldest.host.spec.name].idle.remove(oldest)
+        self._close(oldest)
+        return True
+
+    def _close(self, link: Link) -> None:
+        if link.closed:
+            return
+        link.closed = True
+        self.idle.pop(link, None)
+        del self.links[link]
+        if not link.dead:
+            self.queue.after(HOP_MS, link.host.lost, link)
+
+    def _retire(self, pool: Pool) -> None:
+        idle, pool.idle = pool.idle, []
+        for link in idle:
+            self._close(link)
+
+    def _sweep(self) -> None:
+        if self.dead:
+            return
+        oldest = self.queue.now - self.bounds.conn_idle_ms * IDLE_SHARE
+        while self.idle and (link := next(iter(self.idle))).idle_since <= oldest:
+            self.pools[link.host.spec.name].idle.remove(link)
+            self._close(link)
+        self.queue.after(SWEEP_MS, self._sweep)
+
+    # ------------------------------------------------------------------ probes
+
+    def _probe(self, server: str) -> None:
+        self.queue.after(HOP_MS, self._probes, server, self.queue.now)
+
+    def _probes(self, server: str, began: float) -> None:
+        host = self.world.hosts.get(server)
+        result, report, wait = Result.CONNECT_FAILED, None, HOP_MS
+        if host is not None and host.vanished:
+            result, wait = Result.TIMEOUT, self.bounds.probe_timeout_ms
+        elif host is not None and host.listening:
+            result, report = host.probe()
+        self.queue.after(wait, self._probed, server, began, result, report)
+
+    def _probed(self, server: str, began: float, result: Result, report: Report | None) -> None:
+        if not self.dead:
+            self.apply(self.node.probed(self.queue.now, server, result, self.queue.now - began, report))
+
+    # ------------------------------------------------------------ life and end
+
+    def recall(self, learned: Learned, age_ms: float) -> None:
+        self.node.recall(self.queue.now, learned, age_ms)
+
+    def kill(self) -> None:
+        """The process is gone: its callers' connections and its own end with it."""
+        self.dead = True
+        for call in self.calls.values():
+            if not call.abandoned:
+                self.queue.after(HOP_MS, call.done, Verdict(why="broken"))
+        self.calls.clear()
+        for link in list(self.links):
+            self._close(link)
--- /dev/null
+++ b/rosewheel/lab/virtual/simulate.py
@@ -0,0 +1,157 @@
+"""One simulated run of a plan: records, their digest, and what they say."""
+
+from __future__ import annotations
+
+import hashlib
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from rosewheel.config.checked import Problem, ProblemsError
+from rosewheel.lab.ledger import Ledger
+from rosewheel.lab.plan import Plan
+from rosewheel.lab.records import Writer
+from rosewheel.lab.scenario import Scenario
+from rosewheel.lab.virtual.clients import Clients, Front
+from rosewheel.lab.virtual.events import Queue
+from rosewheel.lab.virtual.figures import Tally, of_tiers
+from rosewheel.lab.virtual.world import World
+
+LEAD_MS = 500.0  # between the start of the last node and the plan's beginning
+SLICE_MS = 100.0
+AFTER_MS = 10_000.0
+LONGEST_MS = 120_000.0  # after the last arrival nobody waits for longer
+STREAMS = ("run", "load", "equipos")
+
+Progress = Callable[[float, int, float], None]  # seconds simulated, events, seconds of wall clock
+
+
+class Recorder:
+    """Every record in the order in which it was made: into a digest, the ledger, and files if there is a folder."""
+
+    def __init__(self, ledger: Ledger, folder: Path | None) -> None:
+        self.ledger = ledger
+        self.backs: list[float] = []
+        self.rows = 0
+        self._hash = hashlib.blake2b(digest_size=8)
+        self._encode = msgspec.json.Encoder().encode
+        self._files = {} if folder is None else {name: Writer(folder / f"{name}.jsonl") for name in STREAMS}
+
+    def write(self, name: str, row: dict[str, Any]) -> None:
+        self.rows += 1
+        self._hash.update(self._encode(row))
+        self.ledger.take(row)
+        if row["e"] == "back":
+            self.backs.append(row["t"])
+        if self._files:
+            self._files[name].write(row)
+
+    def close(self) -> str:
+        for file in self._files.values():
+            file.close()
+        return self._hash.hexdigest()
+
+
+def check(scenario: Scenario) -> None:
+    """ProblemsError where a scenario wants what is not simulated."""
+    for at, trouble in enumerate(scenario.troubles):
+        if trouble.kills:
+            why = "a process that is killed in the middle of an upgrade is not simulated"
+            raise ProblemsError(scenario.name, [Problem(f"trouble[{at}].kills", None, why)])
+
+
+class Simulation:
+    """One run of a plan. `world` and `clients` are there to be looked at once it is over."""
+
+    def __init__(self, plan: Plan, folder: Path | None = None) -> None:
+        self.plan = plan
+        spread_ms = plan.scenario.nodes.spread_s * 1000.0
+        self.ledger = Ledger(plan.scenario)
+        self.recorder = Recorder(self.ledger, folder)
+        self.queue = Queue(-(spread_ms + LEAD_MS))
+        self.world = World(plan, self.queue, self.recorder.write)
+        self.tally = Tally(plan)
+        self.clients: Clients | None = None
+        self.world.start(self._begin)
+
+    def _begin(self) -> None:
+        """All nodes are up: clients and troubles take their places."""
+        plan, queue = self.plan, self.queue
+        front = Front(queue, self.world.nodes, plan.notice_ms)
+        self.clients = Clients(
+            plan, queue, front, lambda row: self.recorder.write("load", row), self.tally.take
+        )
+        for step in plan.steps:
+            if plan.scenario.troubles[step.trouble].kind == "retry-storm":
+                queue.at(step.at_ms, self._storm, round(step.size) if step.what == "begin" else 0)
+            else:
+                queue.at(step.at_ms, self.world.step, step, front)
+
+    def _storm(self, tries: int) -> None:
+        assert self.clients is not None
+        self.clients.storm = tries
+
+    @property
+    def over(self) -> bool:
+        """The plan's time is up and every client has its answer, or has waited longer than any can."""
+        end = self.plan.scenario.seconds * 1000.0
+        if self.clients is None or self.queue.now < end:
+            return False
+        return self.clients.done or self.queue.now >= end + LONGEST_MS
+
+    def run(self, progress: Progress | None = None) -> dict[str, Any]:
+        """Play it to its end and say what came of it."""
+        began = time.monotonic()
+        while not self.over:
+            self.queue.run(self.queue.now + SLICE_MS)
+            if progress is not None:
+                progress(self.queue.now / 1000.0, self.queue.done, time.monotonic() - began)
+        for name, histogram in self.tally.latency.items():
+            quantiles = {f"p{q:g}": histogram.get_value_at_percentile(q) for q in (50.0, 90.0, 99.0, 99.9)}
+            row = {"e": "latency", "class": name, **self.tally.counts[name], **quantiles}
+            self.recorder.write("load", row)
+        return {**self._summary(), "wall_s": round(time.monotonic() - began, 1)}
+
+    def _summary(self) -> dict[str, Any]:
+        scenario, tally = self.plan.scenario, self.tally
+        digest, broken, swing = self.recorder.close(), self.ledger.close(), tally.swing()
+        windows = [
+            tally.service(back, back + AFTER_MS)
+            for back in self.recorder.backs
+            if 0.0 <= back < scenario.seconds * 1000.0
+        ]
+        return {
+            "ok": broken.count() == 0 and self.clients is not None and self.clients.done,
+            "scenario": scenario.name,
+            "seed": self.plan.seed,
+            "plan": self.plan.digest(),
+            "digest": digest,
+            "service": round(tally.service(*tally.whole), 4),
+            "worst_10_s": round(tally.worst(), 4),
+            "after_restarts": round(sum(windows) / len(windows), 4) if windows else None,
+            "void": False,
+            "classes": {
+                name: {
+                    **tally.counts[name],
+                    "p50_ms": tally.latency[name].get_value_at_percentile(50.0),
+                    "p99_ms": tally.latency[name].get_value_at_percentile(99.0),
+                }
+                for name in tally.counts
+            },
+            "tries": tally.tries,
+            "swing": None if swing is None else round(swing, 3),
+            "fell": self.ledger.fell,
+            "tiers": of_tiers(self.world),
+            "rules": broken.row(),
+            "crashed": [],
+            "events": self.queue.done,
+            "records": self.recorder.rows,
+        }
+
+
+def simulate(plan: Plan, folder: Path | None = None, progress: Progress | None = None) -> dict[str, Any]:
+    """Play the plan once; the same plan gives the same records byte for byte."""
+    return Simulation(plan, folder).run(progress)
--- /dev/null
+++ b/rosewheel/lab/virtual/world.py
@@ -0,0 +1,438 @@
+"""Everything of a simulated run behind its clients: equipos of all tiers, their nodes, discovery, the troubles."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from rosewheel.decide.interface import Result, Server, ServerState, Settings
+from rosewheel.decide.settings import settings_from
+from rosewheel.lab import equipo as model
+from rosewheel.lab.nodes import settings
+from rosewheel.lab.plan import Plan, Step, stretches
+from rosewheel.lab.retry import Verdict
+from rosewheel.lab.streams import stream
+from rosewheel.lab.virtual.clients import Front
+from rosewheel.lab.virtual.discovery import Registry
+from rosewheel.lab.virtual.events import Queue
+from rosewheel.lab.virtual.host import Fault, Host, Work
+from rosewheel.lab.virtual.network import Exchange, Link
+from rosewheel.lab.virtual.node import Call, VirtualNode
+from rosewheel.node.bounds import Bounds
+
+SAMPLE_MS = 500.0
+START_MS = 500.0  # of a process, until it serves
+UPGRADE_MS = 800.0  # two processes of one node side by side, until the old one takes nothing new
+
+Write = Callable[[str, dict[str, Any]], None]
+
+
+class World:
+    def __init__(self, plan: Plan, queue: Queue, write: Write) -> None:
+        self.plan, self.queue, self.write = plan, queue, write
+        scenario = plan.scenario
+        self.hosts: dict[str, Host] = {}
+        self.specs = {spec.name: spec for spec in (*plan.equipos, *plan.later)}
+        self.memories: dict[tuple[int, int], model.Memory] = {}
+        self.grupos: dict[tuple[int, int], list[Host]] = {}
+        self.tables = {row.name: row for row in scenario.classes}
+        self.figures = {row.name: row for row in plan.classes}
+        self.told: dict[tuple[str, str], tuple[ServerState, float]] = {}
+        self.results: list[Counter[Result]] = [Counter() for _ in scenario.tiers]  # of attempts, by tier
+        self.sent = [0] * len(scenario.tiers)  # requests that came to equipos
+        self.served = [0] * len(scenario.tiers)
+        self.companions: dict[str, VirtualNode] = {}
+        self.nodes: dict[str, VirtualNode] = {}
+        self.registries = [
+            Registry(queue, plan, self._told, stream(plan.seed, "run", "discovery", tier))
+            for tier in range(len(scenario.tiers))
+        ]
+        self._noise = stream(plan.seed, "run", "noise")
+        self._calls = stream(plan.seed, "run", "calls")
+        self._settings: dict[tuple[int, int], Settings] = {}
+        self._bounds = Bounds(
+            conn_idle_ms=30000.0,
+            second_copies=scenario.nodes.second_copies,
+            may_probe=True,
+            sockets=scenario.nodes.sockets,
+            memory_mb=scenario.nodes.memory_mb,
+        )
+        self._next = 0
+        self._processes = 0
+        for spec in plan.equipos:
+            host = self._host(spec, cold=False)
+            host.listening = True
+            self.registries[spec.tier].truth[spec.name] = Server(spec.name, spec.zone, spec.cell)
+        self.queue.at(0.0, self._sample)
+
+    def start(self, ready: Callable[[], None]) -> None:
+        """The nodes begin, each at a moment of its own before the plan's clock does; `ready` once all have."""
+        spread, rng = self.plan.scenario.nodes.spread_s * 1000.0, stream(self.plan.seed, "run", "starts")
+        for number in range(self.plan.scenario.nodes.count):
+            wait = float(rng.uniform(0.0, spread))
+            self.queue.after(wait, self._front_starts, f"n{number}")
+        for spec in self.plan.equipos:
+            if spec.tier + 1 < len(self.plan.scenario.tiers):
+                self.queue.after(float(rng.uniform(0.0, spread)), self._companion, spec)
+        self.queue.after(spread, ready)
+
+    def _front_starts(self, name: str) -> None:
+        self.nodes[name] = self._node(name, 0, self.plan.scenario.nodes.count)
+
+    # ------------------------------------------------------------------ fleet
+
+    def _host(self, spec: model.Spec, cold: bool) -> Host:
+        memory = self.memories.setdefault((spec.tier, spec.cell), model.Memory())
+        rng = stream(self.plan.seed, "run", "equipo", spec.name)
+        reports = self.plan.scenario.tiers[spec.tier].report.on
+        self.hosts[spec.name] = host = Host(self, spec, memory, rng, cold, reports)
+        self.grupos.setdefault((spec.tier, spec.cell), []).append(host)
+        return host
+
+    def _node(self, name: str, tier: int, siblings: int) -> VirtualNode:
+        told = self._settings.get((tier, siblings))
+        if told is None:
+            told = self._settings[tier, siblings] = settings_from(settings(self.plan, tier, siblings))
+        self._processes += 1
+        seed = int(stream(self.plan.seed, "node", name, self._processes).integers(1 << 62))
+        node = VirtualNode(self, name, tier, told, self._bounds, seed)
+        self.registries[tier].add(node)
+        return node
+
+    def _companion(self, spec: model.Spec) -> None:
+        """The node through which this equipo calls the next tier."""
+        tier = spec.tier + 1
+        if tier < len(self.plan.scenario.tiers):
+            siblings = sum(1 for one in self.plan.equipos if one.tier == spec.tier)
+            self.companions[spec.name] = self._node(f"n-{spec.name}", tier, siblings)
+
+    def _told(self, node: str, entry: Server) -> None:
+        self.told[node, entry.address] = (entry.state, self.queue.now)
+        health = entry.state.value
+        self.write(
+            "equipos", {"e": "told", "t": self.t(), "node": node, "equipo": entry.address, "health": health}
+        )
+
+    # --------------------------------------------------------------- requests
+
+    def take(self, host: Host, link: Link, exchange: Exchange) -> Work:
+        """A request at an equipo: how much work it will be there."""
+        call, spec = exchange.call, host.spec
+        table = self.tables[call.service]
+        work = stretches(
+            self.plan, spec, self.figures[call.service], call.work_ms, (self._noise, self._calls)
+        )
+        if link.used == 1:
+            work = (work[0] + spec.handshake_ms, *work[1:])
+        self._next += 1
+        self.sent[spec.tier] += 1
+        key = f"{call.service}/{call.key}" if table.effect == "keyed" else None
+        told = self.told.get((link.node.name, spec.name))
+        job = model.Job(self._next, work, key, table.memory_ms, told=told is not None)
+        if told is not None and told[0] is not ServerState.UP:
+            self._late(host, link, call, told)
+        return Work(host, link, exchange, job, self.queue.now, self.queue.now + exchange.timeout_ms)
+
+    def _late(self, host: Host, link: Link, call: Call, told: tuple[ServerState, float]) -> None:
+        """Something new has come to an equipo of which its node had been told that it drains or is gone."""
+        rules = self.plan.scenario.rules
+        over = self.queue.now - told[1] - rules.drain_ms - rules.slack_ms
+        if over > 0.0:
+            row = {"e": "late", "t": self.t(), "node": link.node.name, "equipo": host.spec.name}
+            self.write("equipos", {**row, "health": told[0].value, "over_ms": round(over, 1), "op": call.op})
+
+    def answered_by(self, node: VirtualNode, exchange: Exchange, result: Result) -> None:
+        self.results[node.tier][result] += 1
+
+    def act(self, host: Host, acts: list[model.Action]) -> None:
+        for act in acts:
+            match act:
+                case model.Reply(id, verdict):
+                    self._reply(host, id, verdict)
+                case model.CallNext(id, number):
+                    self._call(host, host.work[id], number)
+                case model.Began():
+                    pass
+                case model.Fell(share):
+                    row = {"e": "fell", "t": self.t(), "equipo": host.spec.name, "told_share": share}
+                    self.write("equipos", row)
+                    self._crash(host)
+
+    def _reply(self, host: Host, id: int, verdict: model.Verdict) -> None:
+        # A repeat may have joined the first one at another equipo of the grupo.
+        work = host.work.pop(id, None) or self._elsewhere(host, id)
+        if work is None:
+            return
+        if work.job.stage is model.Stage.JOINED:
+            work.host.model.joined_ended(id)
+        if verdict is model.Verdict.SERVED:
+            self.served[work.host.spec.tier] += 1
+        self._record(work, verdict.value)
+        work.host.reply(work, verdict)
+
+    def _elsewhere(self, here: Host, id: int) -> Work | None:
+        for host in self.grupos[here.spec.tier, here.spec.cell]:
+            work = host.work.pop(id, None)
+            if work is not None:
+                return work
+        return None
+
+    def _record(self, work: Work, verdict: str) -> None:
+        """How a request ended at an equipo, and whether its work had begun there."""
+        spec, call, now = work.host.spec, work.exchange.call, self.queue.now
+        self.write(
+            "equipos",
+            {
+                "e": "job",
+                "t": self.t(),
+                "tier": spec.tier,
+                "equipo": spec.name,
+                "cell": spec.cell,
+                "node": work.link.node.name,
+                "class": call.service,
+                "op": call.op,
+                "rid": call.rid,
+                "came": round(work.came_ms, 1),
+                "verdict": verdict,
+                "ran": work.job.effect,
+                "wanted": work.wanted,
+                "over": now > work.deadline_ms,
+            },
+        )
+
+    def _call(self, host: Host, work: Work, number: int) -> None:
+        """One call to the next tier, through the equipo's own node."""
+        above, node = work.exchange.call, self.companions.get(host.spec.name)
+        table = self.tables[above.service]
+        left = work.deadline_ms - self.queue.now if self.plan.scenario.passes_deadline else table.give_up_ms
+        model_then = host.model
+        if node is None or left < 1.0:
+            self.queue.after(0.0, self._called, host, model_then, work.job.id, False)
+            return
+        keyed = table.effect == "keyed"
+        key = f"{work.job.key or above.rid}.{number}"
+        rid = f"{above.rid}.{work.job.id}.{number}"
+        op = key if keyed else f"{above.op}/{work.job.id}.{number}"
+        over = False
+
+        def done(verdict: Verdict) -> None:
+            nonlocal over
+            if not over:
+                over = True
+                self.queue.off(timer)
+                self._called(host, model_then, work.job.id, verdict.status == 200)
+
+        def give_up() -> None:
+            node.abandon(call)
+            done(Verdict(why="timed out"))
+
+        call = Call(rid, above.service, op, above.work_ms, key, float(max(1, int(left))), done)
+        timer = self.queue.after(left, give_up)
+        node.ask(call)
+
+    def _called(self, host: Host, then: model.Equipo, id: int, good: bool) -> None:
+        if host.model is not then:  # it was started anew since
+            return
+        host.catch_up()
+        self.act(host, host.model.called(self.queue.now, id, good))
+        host.arm()
+
+    # --------------------------------------------------------------- troubles
+
+    def step(self, step: Step, front: Front) -> None:
+        trouble = self.plan.scenario.troubles[step.trouble]
+        self.write(
+            "equipos",
+            {"e": "step", "t": self.t(), "kind": trouble.kind, "what": step.what, "equipos": step.equipos},
+        )
+        on = [self.hosts[name] for name in step.equipos if name in self.hosts]
+        begins, now = step.what == "begin", self.queue.now
+        for host in on:
+            host.catch_up()
+        match trouble.kind:
+            case "slow":
+                for host in on:
+                    host.model.slow_down(now, step.size if begins else 1.0)
+            case "neighbour":
+                for host in on:
+                    host.model.take(now, step.size if begins else 0.0)
+            case "deploy":
+                self._deploy_step(step, on)
+            case "discovery-lag":
+                for registry in self.registries:
+                    registry.behind_ms = step.size * 1000.0 if begins else 0.0
+            case "discovery-stall":
+                for registry in self.registries:
+                    registry.stall(begins)
+            case "discovery-break":
+                for registry in self.registries if begins else ():
+                    registry.break_off()
+            case "discovery-storm":
+                state = ServerState.DRAINING if step.what == "away" else ServerState.UP
+                for host in on:
+                    if host.model.state is model.State.UP:
+                        self.registries[host.spec.tier].restate(host.spec.name, state, "storm")
+            case "faults":
+                self._fault_step(step, begins)
+            case "crash":
+                for host in on:
+                    if begins:
+                        self._crash(host)
+                    else:
+                        self._launch(host, cold=True)
+            case "vanish":
+                for host in on:
+                    self._vanish(host, begins)
+            case "node-crash" | "node-loss":
+                names = step.equipos if trouble.kind == "node-loss" else (f"n{trouble.node}",)
+                for name in names if begins else ():
+                    self._node_dies(name, front, self._length_ms(step))
+            case "node-upgrade":
+                if begins:
+                    self._upgrade(f"n{trouble.node}", front)
+            case "front-shift":
+                front.only = step.equipos if begins else ()
+                front.changed()
+        for host in on:
+            host.arm()
+
+    def _deploy_step(self, step: Step, on: list[Host]) -> None:
+        if step.what == "drain":
+            for host in on:
+                host.model.drain(self.queue.now)
+                self.registries[host.spec.tier].restate(host.spec.name, ServerState.DRAINING, "drain")
+        elif step.what == "stop":
+            for host in on:
+                self._gone(host, "stop")
+        else:
+            for name in step.equipos:
+                host = self._host(self.specs[name], cold=True)
+                self._launch(host, cold=True)
+
+    def _launch(self, host: Host, cold: bool) -> None:
+        """Its node first, then it takes work and the list is told."""
+        self.queue.after(START_MS, self._launched, host, cold)
+
+    def _launched(self, host: Host, cold: bool) -> None:
+        spec = host.spec
+        self._companion(spec)
+        host.start(cold)
+        self.registries[spec.tier].set(
+            Server(spec.name, spec.zone, spec.cell, launched_ms=self.queue.now), "add"
+        )
+
+    def _fault_step(self, step: Step, begins: bool) -> None:
+        trouble = self.plan.scenario.troubles[step.trouble]
+        tier = trouble.tier or self.plan.scenario.tiers[0].name
+        for name, host in self.hosts.items():
+            if self.plan.scenario.tiers[host.spec.tier].name != tier:
+                continue
+            if trouble.how == "refuse":
+                if name in step.equipos and host.model.state is not model.State.DOWN:
+                    host.listening = not begins
+            elif begins:
+                rng = stream(self.plan.seed, "run", "fault", step.trouble, name)
+                host.begin_fault(step.trouble, Fault(trouble.how, trouble.part, trouble.delay_ms, rng))
+            else:
+                host.end_fault(step.trouble)
+
+    def _crash(self, host: Host) -> None:
+        self._gone(host, "silent")
+
+    def _gone(self, host: Host, change: str) -> None:
+        """The process ends, and its node with it."""
+        for work in host.work.values():
+            self._record(work, "lost")
+        host.die()
+        node = self.companions.pop(host.spec.name, None)
+        if node is not None:
+            node.kill()
+            self.registries[node.tier].drop(node)
+        self.registries[host.spec.tier].restate(host.spec.name, ServerState.REMOVED, change)
+
+    def _vanish(self, host: Host, begins: bool) -> None:
+        spec = host.spec
+        if begins:
+            host.vanish()
+            self.registries[spec.tier].restate(spec.name, ServerState.REMOVED, "silent")
+        else:
+            host.reappear()
+            started = host.model.started_ms if host.model.started_ms > 0.0 else None
+            self.registries[spec.tier].set(
+                Server(spec.name, spec.zone, spec.cell, launched_ms=started), "add"
+            )
+
+    # ------------------------------------------------------- the front's nodes
+
+    def _length_ms(self, step: Step) -> float:
+        """From this step to the end of its trouble; 0 where it has none."""
+        ends = [one.at_ms for one in self.plan.steps if one.trouble == step.trouble and one.what == "end"]
+        return ends[0] - step.at_ms if ends else 0.0
+
+    def _node_dies(self, name: str, front: Front, down_ms: float) -> None:
+        old = self.nodes[name]
+        if old.dead:
+            return
+        self.write("run", {"e": "killed", "t": self.t(), "node": name})
+        learned = old.node.learned(self.queue.now) if self.plan.scenario.nodes.keeps else None
+        old.kill()
+        self.registries[0].drop(old)
+        front.look(name)
+        self.queue.after(down_ms + START_MS, self._node_returns, name, front, learned, self.queue.now)
+
+    def _node_returns(self, name: str, front: Front, learned: Any, died: float) -> None:
+        self._front_starts(name)
+        if learned is not None:
+            self.nodes[name].recall(learned, self.queue.now - died)
+        self.write("run", {"e": "back", "t": self.t(), "node": name})
+        front.look(name)
+
+    def _upgrade(self, name: str, front: Front) -> None:
+        """A new process beside the old one, which takes nothing new once the new one serves."""
+        old = self.nodes[name]
+        if old.dead:
+            return
+        new = self._node(name, 0, self.plan.scenario.nodes.count)
+        if self.plan.scenario.nodes.keeps:
+            new.recall(old.node.learned(self.queue.now), 0.0)
+        for one in (old, new):
+            one.apply(one.node.company(self.queue.now, 2))
+        self.queue.after(UPGRADE_MS, self._upgraded, name, old, new)
+
+    def _upgraded(self, name: str, old: VirtualNode, new: VirtualNode) -> None:
+        if old.dead:  # it was killed meanwhile, and another has taken its place
+            new.kill()
+            return
+        self.nodes[name] = new
+        new.apply(new.node.company(self.queue.now, 1))
+        self.write("run", {"e": "back", "t": self.t(), "node": name})
+
+    # ---------------------------------------------------------------- records
+
+    def t(self) -> float:
+        return round(self.queue.now, 1)
+
+    def _sample(self) -> None:
+        now = self.queue.now
+        for name, host in self.hosts.items():
+            host.catch_up()
+            one = host.model
+            one.report(now)  # as of now, not of the last event
+            self.write(
+                "equipos",
+                {
+                    "e": "sample",
+                    "t": self.t(),
+                    "equipo": name,
+                    "state": one.state.value,
+                    "queue": one.queue,
+                    "held": one.held,
+                    "slowed": one.choked_ms is not None,
+                    "speed": round(one.capacity / (one.spec.cores * one.spec.speed), 3),
+                    "connections": one.connected,
+                    "turned_away": one.turned_away,
+                },
+            )
+            host.arm()
+        self.queue.after(SAMPLE_MS, self._sample)
--- /dev/null
+++ b/tests/test_virtual.py
@@ -0,0 +1,214 @@
+"""Virtual time: one order of events, the same records by the same seed, and the rules under any troubles."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rosewheel.config.checked import ProblemsError
+from rosewheel.lab import ledger, plan, scenario
+from rosewheel.lab.scenario import Scenario
+from rosewheel.lab.virtual.events import Queue
+from rosewheel.lab.virtual.node import VirtualNode
+from rosewheel.lab.virtual.simulate import Simulation, check, simulate
+from rosewheel.node.core import Dispatch, Effect
+
+SHORT = settings(max_examples=25, deadline=None, derandomize=True)
+
+
+# ---------------------------------------------------------------------- queue
+
+
+@SHORT
+@given(
+    st.lists(st.tuples(st.integers(0, 20), st.booleans()), max_size=60),
+    st.lists(st.integers(0, 25), max_size=5),
+)
+def test_what_is_due_happens_once_in_order_and_what_was_called_off_never(
+    rows: list[tuple[int, bool]], stops: list[int]
+) -> None:
+    queue, seen = Queue(0.0), []
+    for number, (due, off) in enumerate(rows):
+        row = queue.at(float(due), seen.append, (due, number))
+        if off:
+            queue.off(row)
+    for stop in [*sorted(stops), 100]:
+        queue.run(float(stop))
+        assert all(due <= stop for due, _ in seen)
+    assert seen == sorted((due, number) for number, (due, off) in enumerate(rows) if not off)
+    assert len(queue) == 0
+
+
+def test_a_crowd_that_is_called_off_leaves_the_rest() -> None:
+    queue, seen = Queue(0.0), []
+    rows = [queue.at(float(at % 7), seen.append, at) for at in range(5000)]
+
+    def call_off() -> None:
+        for at, row in enumerate(rows):
+            if at % 100:
+                queue.off(row)
+
+    queue.at(0.0, call_off)
+    queue.run(10.0)
+    # Those of the first moment had happened before.
+    late = [at for at in seen if at % 7]
+    assert sorted(late) == [at for at in range(5000) if at % 7 and at % 100 == 0]
+    assert len(queue) == 0
+
+
+# ---------------------------------------------------------------- determinism
+
+SAY = (
+    "from rosewheel.lab import plan, scenario; from rosewheel.lab.virtual.simulate import simulate;"
+    "r = simulate(plan.make(scenario.load('{}')));"
+    "print(r['digest'], r['events'])"
+)
+
+
+@pytest.mark.parametrize("name", ["deploy", "faults"])
+def test_the_same_seed_gives_the_same_records_whatever_the_process_hashes(name: str) -> None:
+    said = set()
+    for hashes in ("1", "77"):
+        environ = {**os.environ, "PYTHONHASHSEED": hashes}
+        done = subprocess.run(
+            [sys.executable, "-c", SAY.format(name)], env=environ, capture_output=True, text=True, check=True
+        )
+        said.add(done.stdout)
+    assert len(said) == 1
+
+
+def test_records_on_disk_say_what_the_live_ledger_says(tmp_path: Path) -> None:
+    told = scenario.load("crash")
+    one = plan.make(told)
+    summary = simulate(one, tmp_path)
+    assert summary == {**simulate(one), "wall_s": summary["wall_s"]}
+    assert ledger.audit(told, tmp_path).row() == summary["rules"]
+    assert sum(path.read_bytes().count(b"\n") for path in tmp_path.iterdir()) == summary["records"]
+    assert simulate(plan.make(told, 2))["digest"] != summary["digest"]
+
+
+# ------------------------------------------------------------------- troubles
+
+TROUBLES = st.fixed_dictionaries(
+    {
+        "kind": st.sampled_from(
+            [
+                "slow",
+                "neighbour",
+                "deploy",
+                "discovery-lag",
+                "discovery-stall",
+                "discovery-break",
+                "discovery-storm",
+                "crash",
+                "vanish",
+                "node-crash",
+                "node-upgrade",
+                "node-loss",
+                "front-shift",
+                "retry-storm",
+                "surge",
+            ]
+        ),
+        "at_s": st.floats(0.5, 5.0),
+        "for_s": st.floats(0.2, 4.0),
+        "size": st.sampled_from([0.4, 0.9]),
+        "part": st.sampled_from([0.3, 0.6, 1.0]),
+        "tier": st.sampled_from(["entrada", "archivo"]),
+    }
+)
+FAULTS = st.fixed_dictionaries(
+    {
+        "kind": st.just("faults"),
+        "how": st.sampled_from(["refuse", "reset", "silence", "delay", "half", "spoilt"]),
+        "at_s": st.floats(0.5, 5.0),
+        "for_s": st.floats(0.2, 4.0),
+        "part": st.sampled_from([0.2, 0.6]),
+        "tier": st.sampled_from(["entrada", "archivo"]),
+    }
+)
+
+
+def made(troubles: list[dict[str, Any]], rate: float, nodes: int = 3) -> Scenario:
+    """Two tiers, unsafe and keyed work, short give-up times."""
+    kind = {"count": 6, "speed": [1.0, 2.0], "cold_s": 4, "pause_ms": [0, 50], "error_rate": [0, 0.05]}
+    common = {"share": 1, "work_ms": 60, "cv": 0.8, "attempt_noise": 0.3, "aim_ms": 700, "give_up_ms": 2000}
+    rows = {
+        "name": "made",
+        "seconds": 8,
+        "class": [
+            {"name": "subir-foto", "effect": "unsafe", "worth": 8, **common},
+            {"name": "comentario", "effect": "keyed", "group": "cell", "worth": 3, **common},
+            {"name": "ver", "effect": "safe", **common},
+        ],
+        "clients": {"rate_per_s": rate},
+        "nodes": {"count": nodes, "spread_s": 0.4},
+        "tier": [
+            {"name": "entrada", "work": 0.5, "cell_size": 3, "kind": [{"name": "a", **kind}]},
+            {"name": "archivo", "work": 0.5, "cell_size": 3, "calls": 1.3, "kind": [{"name": "b", **kind}]},
+        ],
+        "trouble": troubles,
+    }
+    return msgspec.convert(rows, Scenario)
+
+
+@SHORT
+@given(
+    st.lists(TROUBLES | FAULTS, max_size=4), st.sampled_from([20.0, 120.0, 400.0]), st.integers(0, 1 << 30)
+)
+def test_the_rules_hold_under_any_troubles(troubles: list[dict[str, Any]], rate: float, seed: int) -> None:
+    run = Simulation(plan.make(made(troubles, rate), seed))
+    summary = run.run()
+    assert summary["ok"], summary["rules"]
+    asked = sum(one["asked"] for one in summary["classes"].values())
+    assert asked == len(run.plan.arrivals)
+    # Nothing is left behind once everybody has an answer and what ran on has ended.
+    run.queue.run(run.queue.now + 30_000.0)
+    for node in [*run.world.nodes.values(), *run.world.companions.values()]:
+        assert node.node.active == 0
+        assert not node.calls
+        assert not node.out
+        assert len(node.links) <= node.most
+    for host in run.world.hosts.values():
+        assert host.model.connected == len(host.links)
+
+
+def test_a_node_that_sends_unsafe_work_twice_is_found_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    plain = VirtualNode.apply
+
+    def apply(self: VirtualNode, effects: list[Effect]) -> None:
+        again = [
+            Dispatch(one.id, one.attempt + 50, one.server, one.timeout_ms)
+            for one in effects
+            if type(one) is Dispatch
+        ]
+        plain(self, [*effects, *again])
+
+    monkeypatch.setattr(VirtualNode, "apply", apply)
+    summary = simulate(plan.make(made([], 20.0)))
+    assert not summary["ok"]
+    assert summary["rules"]["twice"]
+
+
+def test_a_node_that_is_deaf_to_a_drain_is_found_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(
+        VirtualNode, "heard", lambda self, form, servers: None if self.pools else plain(self, form, servers)
+    )
+    deploy = {"kind": "deploy", "at_s": 1.0, "for_s": 2.0, "size": 0.5, "part": 0.5}
+    assert simulate(plan.make(made([deploy], 60.0)))["rules"]["late"]
+
+
+plain = VirtualNode.heard
+
+
+def test_killed_processes_in_an_upgrade_are_refused_in_one_line() -> None:
+    with pytest.raises(ProblemsError, match=r"kills"):
+        check(scenario.load("upgrade-kills"))
