--- a/rosewheel/lab/equipo.py
+++ b/rosewheel/lab/equipo.py
@@ -433,7 +433,9 @@
                     self._over_ms = None
                 elif self._over_ms is None:
                     self._over_ms = now
-                elif now - self._over_ms >= choke.over_ms:
+                elif (
+                    now >= self._over_ms + choke.over_ms
+                ):  # summed as in `due`, or rounding makes it due for ever
                     self.choked_ms, self._calm_ms = now, None
             else:
                 if self._busy >= choke.below:
--- a/rosewheel/lab/virtual/discovery.py
+++ b/rosewheel/lab/virtual/discovery.py
@@ -57,8 +57,16 @@
 class Registry:
     """All agents of the nodes that send to one tier."""
 
-    def __init__(self, queue: Queue, plan: Plan, told: Told, rng: np.random.Generator) -> None:
+    def __init__(
+        self,
+        queue: Queue,
+        plan: Plan,
+        told: Told,
+        heard_before: Callable[[str, str], bool],
+        rng: np.random.Generator,
+    ) -> None:
         self.queue, self.plan, self.rng, self._told = queue, plan, rng, told
+        self.heard_before = heard_before  # whether a node of this name was ever told of that server
         self.truth: dict[str, Server] = {}
         self.agents: dict[VirtualNode, Agent] = {}
         self.behind_ms = 0.0  # how much further behind it is, by a trouble
@@ -66,6 +74,9 @@
     def add(self, node: VirtualNode) -> None:
         """A node that begins with the list as it is now."""
         self.agents[node] = agent = Agent(self.queue, node, self.truth, self._told)
+        for entry in agent.entries.values():  # told anew, whatever the process before it had heard
+            if self.heard_before(node.name, entry.address):
+                self._told(node.name, entry)
         node.heard(ListForm.CACHED, tuple(agent.entries.values()))
 
     def drop(self, node: VirtualNode) -> None:
--- a/tests/test_equipo.py
+++ b/tests/test_equipo.py
@@ -250,3 +250,14 @@
     assert equipo.report(60.0) == 0.0
     assert equipo.report(129.0) == 0.0
     assert equipo.report(130.0) == 10.0
+
+
+@given(st.floats(1e3, 1e5), st.floats(100.0, 2000.0))
+@settings(max_examples=200, deadline=None, derandomize=True)
+def test_what_is_due_comes_about_at_that_moment_and_not_for_ever(start: float, over_ms: float) -> None:
+    spec = dataclasses.replace(SPEC, slots=40, choke=dataclasses.replace(CHOKE, over_ms=over_ms))
+    equipo = made(spec)
+    for number in range(30):
+        equipo.arrive(start, Job(number, (100_000.0,)))
+    equipo.tick(equipo.due())
+    assert equipo.choked_ms is not None
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -181,6 +181,13 @@
         assert host.model.connected == len(host.links)
 
 
+def test_a_node_that_died_while_an_equipo_was_said_to_leave_may_send_there_again() -> None:
+    """It begins with a list that says the equipo is back; what its name had been told before is over."""
+    storm = {"kind": "discovery-storm", "at_s": 3.0, "for_s": 3.0, "size": 0.4, "part": 1.0}
+    crash = {"kind": "node-crash", "at_s": 4.0, "for_s": 1.0, "node": 0}
+    assert simulate(plan.make(made([storm, crash], 60.0)))["ok"]
+
+
 def test_a_node_that_sends_unsafe_work_twice_is_found_out(monkeypatch: pytest.MonkeyPatch) -> None:
     plain = VirtualNode.apply
 
