A request goes out in one write, and many nodes before a large pool come apart less

A request's body went to the equipo in a second call of the system, a poll object was made for each reuse, and ranking made calls it did not need. And virtual time showed what a hundred nodes do in lasting overload: some refuse nearly everything, others nothing, because T1 rests on a peak of few completions, each node adds its own allowance for chance, and all run to the equipo that last told of a short queue.

Head and first bytes go together; the poll object lives as long as its connection. In a pool of more than 64 the allowance is shared, the rate smoothed over 40 completions, a report believed for 200 ms.

--- a/benchmarks/passthrough.py
+++ b/benchmarks/passthrough.py
@@ -1,10 +1,10 @@
 """What a request costs a node in CPU, against a bare pass-through that reads nothing, in one run on loopback.
 
-    python benchmarks/passthrough.py [--requests 6000] [--connections 16] [--rounds 3] [--body 200]
+    python benchmarks/passthrough.py [--requests 6000] [--connections 16] [--rounds 3] [--body 200] [--equipos 10]
 
 Four processes: the clients (this one), an equipo that answers at once, the bare pass-through (uvloop, bytes copied
 both ways), and a node as `run` starts it. The two take turns. The last line is JSON: microseconds of CPU a request,
-user and system, and their ratio.
+user and system, their ratio, and the node's memory at the end. All of `--equipos` are the one that answers.
 """
 
 from __future__ import annotations
@@ -99,7 +99,7 @@
     return process, int(process.stdout.readline())
 
 
-def node(folder: Path, port: int, equipo: int) -> subprocess.Popen[bytes]:
+def node(folder: Path, port: int, equipo: int, equipos: int) -> subprocess.Popen[bytes]:
     service = {"aimMs": 2500, "giveUpMs": 6000, "credit": 1.0, "lateWorth": 0.0, "memorySpanMs": 0}
     row = {
         "name": "n0",
@@ -111,7 +111,7 @@
             "seq": 1,
             "hosts": [
                 {"host": f"e{at}", "dial": f"127.0.0.1:{equipo}", "site": "a", "block": 0, "health": "active"}
-                for at in range(10)
+                for at in range(equipos)
             ],
         },
         "settings": {
@@ -138,6 +138,11 @@
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
+def rss_mb(pid: int) -> float:
+    """Resident memory."""
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
 async def ask(port: int, requests: int, connections: int, body: int, round_: int) -> int:
     """So many requests over so many connections, one at a time on each; how many were served."""
     served = 0
@@ -183,7 +188,7 @@
         port = free.sockets[0].getsockname()[1]
         free.close()
         await free.wait_closed()
-        process = node(Path(folder), port, equipo_port)
+        process = node(Path(folder), port, equipo_port, given.equipos)
         costs: dict[str, list[float]] = {"bare": [], "node": []}
         try:
             await up(port)
@@ -196,6 +201,7 @@
                     before = cpu_s(pid)
                     served = await ask(at, given.requests, given.connections, given.body, round_)
                     costs[name].append((cpu_s(pid) - before) / max(1, served) * 1e6)
+            memory = rss_mb(process.pid)
         finally:
             for one in (process, bare, equipo):
                 one.terminate()
@@ -205,6 +211,7 @@
         "bare_us": round(medians["bare"], 1),
         "node_us": round(medians["node"], 1),
         "ratio": round(medians["node"] / medians["bare"], 2),
+        "node_mb": round(memory, 1),
         "rounds": {name: [round(cost, 1) for cost in row] for name, row in costs.items()},
     }
 
@@ -215,6 +222,7 @@
     parser.add_argument("--connections", type=int, default=16)
     parser.add_argument("--rounds", type=int, default=3)
     parser.add_argument("--body", type=int, default=200)
+    parser.add_argument("--equipos", type=int, default=10)
     parser.add_argument("--role", choices=("equipo", "bare"), help=argparse.SUPPRESS)
     parser.add_argument("--target", type=int, default=0, help=argparse.SUPPRESS)
     given = parser.parse_args()
--- a/rosewheel/decide/policy.py
+++ b/rosewheel/decide/policy.py
@@ -58,10 +58,16 @@
 ERR_RISE = 0.02  # how fast the usual share of errors follows a higher one, by period
 RATE_MS = 1000.0  # smoothing of the completion rate
 PEAK_MS = 15000.0  # how slowly the rate's peak is forgotten
+# In a large pool a node of many completes little, and the peak of a rate by few is chance: who had luck took
+# up what others shed. Both times are longer there: so many completions in the smoothing, up to so many times.
+STEADY = 40.0
+LONGER = 4.0
 GAIN = 0.2  # smoothing of a server's latency and errors, per outcome
 CLASS_GAIN = 0.03  # smoothing of a class's latency, per outcome
 FORGET_MS = 8000.0  # an unheard server drifts back to the mean at this pace
-STALE_MS = 500.0  # a reported queue is believed for about this long
+STALE_MS = 500.0  # a reported queue is believed for about this long,
+# in a large pool, where many nodes run to whichever server told of a short one last, for less.
+STALE_LARGE_MS = 200.0
 REPORTS = 256  # servers whose reports are looked at in a period, of a large pool
 FRESH_MS = 1500.0  # a reported utilisation counts for this long
 ZONE_WEIGHT = 64.0  # calls in the queue that a crossing of zones counts as, per unit of its price
@@ -140,6 +146,8 @@
         self.cursor = 0
         self.pool = Pool(settings.zone, settings.cold_ms)
         self.jobs: dict[str, _Job] = {}
+        self.large = False  # the pool is more than what is looked at as a whole
+        self.stale_ms = STALE_MS
         self.beside: set[str] = set()  # servers where other processes of this node have calls in flight
         self.far = ZONE_WEIGHT * settings.cross_zone_price
         self.processes = 1  # of this node, each with a balancer; only during an upgrade more
@@ -325,6 +333,8 @@
                 self.pool.put(Peer(server, credit=first, paced_ms=now), now)
             else:
                 self.pool.update(known, server, now)
+        self.large = len(self.peers) > WHOLE
+        self.stale_ms = STALE_LARGE_MS if self.large else STALE_MS
 
     def _on_cordon(self, now: float, event: api.Cordon) -> None:
         if event.out:
@@ -370,7 +380,9 @@
         floor = (START if self.periods * self.period_ms < START_MS else FLOOR) / self.cfg.siblings
         if self.cfg.tier > 0:
             floor = max(floor, FLOOR_BELOW)  # Guard: a refusal below wastes the work done above
-        first = max(FEWEST, ready * floor, first + ROOTS * math.sqrt(first))
+        # The chance of a large pool is that of all its nodes together, and each has its part in it.
+        shared = self.cfg.siblings if self.large else 1
+        first = max(FEWEST, ready * floor, first + ROOTS * math.sqrt(first / shared))
         first *= 1.0 - ROW_GAP * below
         return first * math.pow(self.shape[self.cursor], TOP_BEND + (1.0 - TOP_BEND) * below)
 
@@ -416,21 +428,21 @@
 
     def _rank(self, now: float, peer: Peer) -> float:
         """Smoothed latency x (queue + 1); a silent server drifts to the mean of the others, which is 1."""
-        slow = 1.0
+        slow, errs = 1.0, peer.errs
         if peer.slow is not None:
             slow += (peer.slow - 1.0) * math.exp((peer.heard_ms - now) / FORGET_MS)
-        if peer.out:
-            (id, _), since = next(iter(peer.out.items()))
+        for (id, _), since in peer.out.items():  # the oldest attempt that is out
             if peer.heard_ms <= since:
                 # Guard: a server that hangs shows in its oldest unanswered attempt long before a time-out.
                 mean = self.class_ms.get(self.jobs[id].kind.name)
                 slow = max(slow, (now - since) / mean) if mean else slow
+            break
         # What a server reports has what other processes of this node sent it in it, a little late.
-        queue = peer.queue * math.exp((peer.told_ms - now) / STALE_MS) if peer.queue else 0.0
-        queue = max(peer.beside, queue)
-        far = self.far if peer.info.zone != self.cfg.zone else 0.0
-        noise = 0.95 + (1.05 - 0.95) * self.rng.random()
-        return slow * (peer.load + queue + 1.0 + far) / (1.0 - min(0.9, peer.errs)) * noise
+        queue = peer.beside
+        if peer.queue:
+            queue = max(queue, peer.queue * math.exp((peer.told_ms - now) / self.stale_ms))
+        rank = slow * (peer.load + queue + 1.0 + (self.far if peer.info.zone != self.cfg.zone else 0.0))
+        return rank / (1.0 - (errs if errs < 0.9 else 0.9)) * (0.95 + (1.05 - 0.95) * self.rng.random())
 
     def _paced(self, now: float, peer: Peer) -> bool:
         """Guard: all balancers together must not push a cold server over. While it may be cold it earns
@@ -612,9 +624,10 @@
             # Guard: in a quiet node most periods bring no outcome; counted as load 0 they undid every step.
             step = 1 if load > 1.0 else -1
             self.cursor = max(0, min(len(self.shape) - 1, self.cursor + step))
-        gain = min(1.0, self.period_ms / RATE_MS)
+        longer = min(LONGER, max(1.0, STEADY / (self.rate * RATE_MS + 1e-9))) if self.large else 1.0
+        gain = min(1.0, self.period_ms / (RATE_MS * longer))
         self.rate += gain * (self.completed / self.period_ms - self.rate)
-        self.peak = max(self.rate, self.peak * (1.0 - min(1.0, self.period_ms / PEAK_MS)))
+        self.peak = max(self.rate, self.peak * (1.0 - min(1.0, self.period_ms / (PEAK_MS * longer))))
         self.asked_rate += gain * (self.asked / self.period_ms - self.asked_rate)
         self.pool.earn = self.asked_rate / max(1, len(self.pool.ready))
         self.periods += 1
--- a/rosewheel/http/caller.py
+++ b/rosewheel/http/caller.py
@@ -428,13 +428,10 @@
             self.offer = b""
             return
         self.headed, self.raw = True, 0
-        size, single = len(self.target), set()
-        for name, value in self.headers:
-            size += len(name) + len(value)
-            if name in SINGLE_HEADERS:
-                if name in single:
-                    raise BadRequestError(400, "a header stands twice")
-                single.add(name)
+        size = len(self.target) + sum([len(name) + len(value) for name, value in self.headers])
+        single = [name for name, _ in self.headers if name in SINGLE_HEADERS]
+        if len(single) > 1 and len(set(single)) < len(single):
+            raise BadRequestError(400, "a header stands twice")
         if size > HEAD_BYTES:
             raise BadRequestError(431, "headers too large")
         version = self.parser.get_http_version()
--- a/rosewheel/http/connection.py
+++ b/rosewheel/http/connection.py
@@ -105,6 +105,7 @@
         self.untaken = (0, 0.0)  # what the server has not taken of a request, and since when
         self.sent_s = self.rested_s = 0.0  # when it last got a request, and how long it had rested then
         self.counted = self.choked = self.paused = False
+        self.poller: select.poll | None = None  # asks the system of this connection alone
         self.overdue: asyncio.TimerHandle | None = None
         self.lifted: Lift | None = None  # it is being taken off the loop
         self.resuming = False
@@ -130,6 +131,8 @@
         # Guards memory, the system's and that of the pieces, while an answer waits for a slow caller.
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, READ_BYTES)
+        self.poller = select.poll()
+        self.poller.register(sock.fileno(), select.POLLIN | select.POLLRDHUP)
         self.counted = True
         self.owner.opened += 1
 
@@ -138,9 +141,7 @@
         reset it, and a request that is written after that is lost."""
         if self.transport is None or self.transport.is_closing():
             return False
-        state = select.poll()
-        state.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
-        return not state.poll(0)
+        return self.poller is not None and not self.poller.poll(0)
 
     def send(self, exchange: Exchange) -> None:
         assert self.transport is not None
@@ -149,12 +150,12 @@
         self.untaken = (0, self.sent_s)
         self.rested_s = self.sent_s - self.idle_since if self.idle_since else 0.0
         self.exchange, exchange.conn = exchange, self
-        self.transport.write(exchange.head)
-        exchange.head = b""  # never sent again from here; Guards memory while the answer takes its time
-        self._feed()
+        head, exchange.head = exchange.head, b""  # never sent again from here; Guards memory meanwhile
+        self._feed(head)
 
-    def _feed(self) -> None:
-        """Write what there is of the request's body, as far as the server takes it."""
+    def _feed(self, start: bytes = b"") -> None:
+        """Write `start`, and behind it what there is of the request's body, as far as the server takes it. The first
+        bytes go in one piece, as one call of the system and, where they are few, one segment."""
         exchange = self.exchange
         while exchange is not None and not exchange.sent and not self.choked and self.transport is not None:
             body = exchange.body
@@ -162,19 +163,24 @@
             if body is not None and piece is not None:
                 exchange.at += 1
                 if exchange.chunked:
-                    self.transport.write(b"%x\r\n%b\r\n" % (len(piece), piece))
+                    self.transport.write(b"%b%x\r\n%b\r\n" % (start, len(piece), piece))
                 else:
-                    self.transport.write(piece)
+                    self.transport.write(start + piece if start else piece)
+                start = b""
             elif body is None or body.complete:
-                if exchange.chunked:
-                    self.transport.write(b"0\r\n\r\n")
+                rest = start + b"0\r\n\r\n" if exchange.chunked else start
+                if rest:
+                    self.transport.write(rest)
+                    start = b""
                 exchange.sent = True
                 exchange.wrote()
                 if body is not None:
                     body.reader = None
             else:
                 body.reader = self._feed
-                return
+                break
+        if start and self.transport is not None:
+            self.transport.write(start)
 
     def pause_writing(self) -> None:
         self.choked = True
