Decisions before and now are measured in one run, in processes that take turns

The table of what a decision costs before and after compared two runs, one after the other; what else the machine did fell on one of them.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -1,6 +1,6 @@
 """What a request and its outcome cost the decision module, by the size of the pool.
 
-    python benchmarks/decisions.py [--servers 10,100,1000,5000] [--requests 3000] [--cold 0.0]
+    python benchmarks/decisions.py [--servers 10,100,1000,5000] [--requests 3000] [--cold 0.0] [--against FOLDER]
 
 Each size is measured in turns with the smallest, so that what else the machine does falls on both; the last line is
 JSON with medians in microseconds and their ratio to the smallest. Exits 1 where 1,000 cost more than 1.5 times 10.
@@ -10,10 +10,13 @@
 
 import argparse
 import json
+import os
 import statistics
+import subprocess
 import sys
 import time
 from collections import deque
+from pathlib import Path
 from random import Random
 
 from rosewheel.decide.interface import (
@@ -81,12 +84,40 @@
         return took
 
 
+def against(given: argparse.Namespace, rounds: int = 3) -> dict[str, dict[str, float]]:
+    """Median microseconds by size, of another version (`before`) and of this one (`now`), in processes that take
+    turns."""
+    found: dict[str, dict[str, list[float]]] = {"before": {}, "now": {}}
+    here = str(Path(__file__).resolve().parent.parent)
+    for _ in range(rounds):
+        for name, folder in (("before", given.against), ("now", here)):
+            command = [sys.executable, __file__, "--servers", given.servers, "--cold", str(given.cold)]
+            done = subprocess.run(
+                [*command, "--requests", str(given.requests)],
+                env={**os.environ, "PYTHONPATH": folder},
+                capture_output=True,
+                text=True,
+                check=False,  # 1 says that a large pool costs more than it should, as it may before
+            )
+            if not done.stdout.strip():
+                raise SystemExit(done.stderr.strip().rpartition("\n")[2] or f"{folder}: nothing measured")
+            for size, row in json.loads(done.stdout.strip().rpartition("\n")[2]).items():
+                found[name].setdefault(size, []).append(row["median_us"])
+    return {
+        name: {size: statistics.median(row) for size, row in rows.items()} for name, rows in found.items()
+    }
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__.split("\n", 1)[0])
     parser.add_argument("--servers", default="10,100,1000,5000")
     parser.add_argument("--requests", type=int, default=3000)
     parser.add_argument("--cold", type=float, default=0.0, help="share of the servers that start just now")
+    parser.add_argument("--against", help="folder of another version, measured in turns with this one")
     given = parser.parse_args()
+    if given.against:
+        print(json.dumps(against(given)))
+        return 0
     sizes = [int(size) for size in given.servers.split(",")]
     loads = {size: Load(size, given.cold) for size in sizes}
     costs: dict[int, list[float]] = {size: [] for size in sizes}
