The simulated equipos take the fault of a connection from the lab's own

The same four fields stood in two places, so a new kind of fault could have been added to one of them only. lab/virtual uses the lab's.

--- a/rosewheel/lab/virtual/host.py
+++ b/rosewheel/lab/virtual/host.py
@@ -10,22 +10,13 @@
 
 from rosewheel.decide.interface import Result
 from rosewheel.lab import equipo as model
+from rosewheel.lab.host import Fault
 from rosewheel.lab.virtual.events import Queue
 from rosewheel.lab.virtual.network import HOP_MS, Exchange, Link
 
 Report = dict[str, float]
 
 
-@dataclass(slots=True, frozen=True)
-class Fault:
-    """What befalls a share of the connections while a trouble lasts."""
-
-    how: str
-    part: float
-    delay_ms: float
-    rng: np.random.Generator
-
-
 @dataclass(slots=True, eq=False)
 class Work:
     """A request that an equipo works on."""
--- a/rosewheel/lab/virtual/network.py
+++ b/rosewheel/lab/virtual/network.py
@@ -10,7 +10,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from rosewheel.lab.virtual.host import Fault, Host, Work
+    from rosewheel.lab.host import Fault
+    from rosewheel.lab.virtual.host import Host, Work
     from rosewheel.lab.virtual.node import Call, VirtualNode
 
 # One way, with the work of both its ends: a request through an idle node on loopback takes under a millisecond more
--- a/rosewheel/lab/virtual/world.py
+++ b/rosewheel/lab/virtual/world.py
@@ -9,6 +9,7 @@
 from rosewheel.decide.interface import Result, Server, ServerState, Settings
 from rosewheel.decide.settings import settings_from
 from rosewheel.lab import equipo as model
+from rosewheel.lab.host import Fault
 from rosewheel.lab.nodes import settings
 from rosewheel.lab.plan import Plan, Step, stretches
 from rosewheel.lab.retry import Verdict
@@ -16,7 +17,7 @@
 from rosewheel.lab.virtual.clients import Front
 from rosewheel.lab.virtual.discovery import Registry
 from rosewheel.lab.virtual.events import Queue
-from rosewheel.lab.virtual.host import Fault, Host, Work
+from rosewheel.lab.virtual.host import Host, Work
 from rosewheel.lab.virtual.network import Exchange, Link
 from rosewheel.lab.virtual.node import Call, VirtualNode
 from rosewheel.node.bounds import Bounds
