Of many nodes, what is let in follows what the pool can do now, and cold ones get more

Tiers below refused nothing. Ruled out: connections (none refused), queues at equipos (0 reported throughout), probes and second copies (none), a later target of the cursor (worse), sharper avoidance of failing equipos (no better). At fault in policy.py: _paced (the least share of what is asked, for each node alone), threshold (T1 by the peak of a pool that is gone; each node's allowance added up).

Now, past four nodes before the first tier, rates are per warm equipo, T1 is multiplied by the strength of the pool as the list tells it, and a cold equipo may get twice its stated share. Others decide as before.

--- a/rosewheel/decide/policy.py
+++ b/rosewheel/decide/policy.py
@@ -75,6 +75,14 @@
 WATCH_MAX_MS = 4000.0  # the longest such wait
 CREDIT_MAX = 2.0  # the most credit that a cold server saves up
 AT_ONCE = 4.0  # balancers that may send a server its first call just as it returns
+# Past this many nodes before the first tier each sees too little by itself, and allowances of all add up.
+FEW = 4
+# What a cold server may be sent, over its stated share of what a warm one completes. That share is the least
+# of any server's and warms slowest: paced by it cold ones idle while the few warm ones choke. The rank finds
+# those that can't do so much, and the rule allows four times what a server can do.
+COLD_MORE = 2.0
+T1_SLACK_MANY = 0.15  # in place of T1_SLACK
+STRENGTH_MS = 3000.0  # what a weaker pool completes was sent in part while it was stronger: for about so long
 AIM_MARGIN = 0.98  # attempts worth nothing late are given up at this share of the aim
 
 
@@ -162,6 +170,10 @@
         self.completed = self.ended = self.full = self.errors = 0.0
         self.erring = self.usual = 0.0  # smoothed share of errors, and the part of it that no shedding lowers
         self.rate = self.peak = 0.0  # completed units per ms
+        # Of many nodes: rates are per warm server, and the pool counts as so many of those, now and of late.
+        self.many = settings.tier == 0 and settings.siblings > FEW
+        self.part = FEW / settings.siblings if self.many else 1.0
+        self.strength = self.lately = 1.0
         self.mean_aim = sum(kind.aim_ms for kind in settings.classes) / len(settings.classes)
         self.mean_hint = 0.0
         self.class_ms: dict[str, float] = {}
@@ -269,8 +281,8 @@
             level=self.level,
             outcomes=self.learned_from,
             cursor=self.cursor,
-            rate=self.rate,
-            peak=self.peak,
+            rate=self.rate * self.strength,
+            peak=self.peak * self.strength,
             asked_rate=self.asked_rate,
             erring=self.erring,
             usual=self.usual,
@@ -305,7 +317,7 @@
             self.class_ms = {name: ms for name, ms in old.class_ms.items() if name in self.kinds and ms > 0.0}
             self.level += (old.level - old.base) * weight(age_ms, CURSOR_MS)
         self.cursor = min(len(self.shape) - 1, int(old.cursor * weight(age_ms, CURSOR_MS)))
-        self.rate, self.peak = old.rate * fleeting, old.peak * fleeting
+        self.rate, self.peak = (figure * fleeting / self.strength for figure in (old.rate, old.peak))
         self.asked_rate = old.asked_rate * fleeting
         self.erring, self.usual = old.erring * fleeting, min(1.0, old.usual) * fleeting
         return known
@@ -333,6 +345,8 @@
                 self.pool.put(Peer(server, credit=first, paced_ms=now), now)
             else:
                 self.pool.update(known, server, now)
+        if self.many:  # at once, and not with the next period
+            self.strength = self._strength(now)
         self.large = len(self.peers) > WHOLE
         self.stale_ms = STALE_LARGE_MS if self.large else STALE_MS
 
@@ -376,13 +390,20 @@
         halvings = -math.log2(max(worth, 1e-6))
         below = min(1.0, max(0.0, halvings / OCTAVES))  # 0: the top row, 1: the lowest
         base = 0.5 if self.base is None else self.base
-        first = self.peak * self.mean_aim * (base + T1_SLACK * (1.0 - base))
-        floor = (START if self.periods * self.period_ms < START_MS else FLOOR) / self.cfg.siblings
+        # Guard: a pool of which most is replaced does less at once. Its latency tells so seconds later, when
+        # what is warm has begun to choke.
+        slack = T1_SLACK_MANY if self.many else T1_SLACK
+        first = self.strength * self.peak * self.mean_aim * (base + slack * (1.0 - base))
+        starts = self.periods * self.period_ms < START_MS
+        floor = (START if starts else FLOOR) / self.cfg.siblings
         if self.cfg.tier > 0:
             floor = max(floor, FLOOR_BELOW)  # Guard: a refusal below wastes the work done above
         # The chance of a large pool is that of all its nodes together, and each has its part in it.
         shared = self.cfg.siblings if self.large else 1
-        first = max(FEWEST, ready * floor, first + ROOTS * math.sqrt(first / shared))
+        least = ready * floor
+        if starts and self.many:  # the front deals unevenly, and a node's part of what is let in is small
+            least += ROOTS * math.sqrt(least)
+        first = max(FEWEST, least, first + ROOTS * math.sqrt(first / shared))
         first *= 1.0 - ROW_GAP * below
         return first * math.pow(self.shape[self.cursor], TOP_BEND + (1.0 - TOP_BEND) * below)
 
@@ -448,15 +469,32 @@
         """Guard: all balancers together must not push a cold server over. While it may be cold it earns
         credit at its present share (from `cold_from`, even over `cold_ms`) of what is asked here for each
         server; its first credit is drawn, so that many quiet balancers do not all send it a call at once."""
-        launched, cold_ms = peer.info.launched_ms, self.cfg.cold_ms
-        launched = max(-math.inf if launched is None else launched, peer.returned_ms)
-        if now - launched >= cold_ms:
+        warmth = self._warmth(now, peer)
+        if warmth >= 1.0:
             return True
-        warmth = self.cfg.cold_from + (1.0 - self.cfg.cold_from) * max(0.0, now - launched) / cold_ms
-        earned = warmth * self.asked_rate / len(self.pool.ready) * (now - peer.paced_ms)
-        peer.credit, peer.paced_ms = min(CREDIT_MAX, peer.credit + earned), now
+        earned = warmth * self._pace() * (now - peer.paced_ms)
+        # Of many nodes' savings each has its part.
+        peer.credit, peer.paced_ms = min(1.0 + (CREDIT_MAX - 1.0) * self.part, peer.credit + earned), now
         return peer.credit >= 1.0
 
+    def _pace(self) -> float:
+        """The credit per ms that a warm server would earn."""
+        return COLD_MORE * self.peak if self.many else self.asked_rate / max(1, len(self.pool.ready))
+
+    def _warmth(self, now: float, peer: Peer) -> float:
+        """The least share of its capacity that a server has by now, as stated: 1 once it is warm."""
+        cold_ms = self.cfg.cold_ms
+        left = peer.cold_until(cold_ms) - now
+        return 1.0 - (1.0 - self.cfg.cold_from) * min(1.0, left / cold_ms) if left > 0.0 else 1.0
+
+    def _strength(self, now: float) -> float:
+        """The pool in warm servers: a cold one by its stated share, a failing one by what it serves."""
+        seen = self.pool.look(self.rng, REPORTS)
+        if not seen:
+            return self.strength
+        each = sum(self._warmth(now, peer) * (1.0 - peer.errs) for peer in seen) / len(seen)
+        return max(self.cfg.cold_from, each) * len(self.pool.ready)
+
     # -------------------------------------------------------------- attempts
 
     def _send(self, now: float, job: _Job, acts: list[api.Action]) -> bool:
@@ -624,12 +662,20 @@
             # Guard: in a quiet node most periods bring no outcome; counted as load 0 they undid every step.
             step = 1 if load > 1.0 else -1
             self.cursor = max(0, min(len(self.shape) - 1, self.cursor + step))
-        longer = min(LONGER, max(1.0, STEADY / (self.rate * RATE_MS + 1e-9))) if self.large else 1.0
+        longer = 1.0
+        if self.many:
+            self.strength = self._strength(now)
+            fades = min(1.0, self.period_ms / STRENGTH_MS)
+            self.lately = max(self.strength, self.lately + fades * (self.strength - self.lately))
+            self.completed /= self.lately
+        if self.large or self.many:
+            each = self.lately if self.many else 1.0
+            longer = min(LONGER, max(1.0, STEADY / (self.rate * each * RATE_MS + 1e-9)))
         gain = min(1.0, self.period_ms / (RATE_MS * longer))
         self.rate += gain * (self.completed / self.period_ms - self.rate)
         self.peak = max(self.rate, self.peak * (1.0 - min(1.0, self.period_ms / (PEAK_MS * longer))))
         self.asked_rate += gain * (self.asked / self.period_ms - self.asked_rate)
-        self.pool.earn = self.asked_rate / max(1, len(self.pool.ready))
+        self.pool.earn = self._pace()
         self.periods += 1
         self.ratios, self.completed, self.ended, self.asked = [], 0.0, 0.0, 0.0
         self.full = self.errors = 0.0
--- /dev/null
+++ b/tests/test_many.py
@@ -0,0 +1,114 @@
+"""Many nodes before one pool: together they neither choke what is warm nor tip what is cold."""
+
+from __future__ import annotations
+
+import pytest
+from helpers import Bed, sent, servers
+
+from rosewheel.decide import interface as api
+
+FACTOR = 4.0  # of the rule on cold servers
+
+
+def learned(siblings: int, tier: int = 0, seed: int = 7, calls: int = 3) -> Bed:
+    """A node that has seen an ordinary load on ten warm servers for a while."""
+    bed = Bed(count=10, siblings=siblings, tier=tier, seed=seed)
+    for _ in range(60):
+        for _ in range(calls):
+            bed.serve(latency=bed.balancer.period_ms / calls)
+        bed.period(0.0)
+    return bed
+
+
+def replace(bed: Bed, count: int) -> None:
+    fresh = tuple(api.Server(f"new{at}", "a", launched_ms=bed.now) for at in range(count))
+    bed.give(api.Membership(api.ListForm.FULL, servers(10)[count:] + fresh))
+    bed.period()
+
+
+@pytest.mark.parametrize(("siblings", "tier", "falls"), [(10, 0, True), (4, 0, False), (10, 1, False)])
+def test_what_is_let_in_falls_at_once_with_a_pool_that_is_replaced(siblings: int, tier: int, falls: bool):
+    """Guard: latency told of it seconds later, when the servers that were still warm had begun to choke."""
+    bed = learned(siblings, tier, calls=6)
+    before = bed.balancer.threshold(1.0, 10)
+    assert bed.balancer.cursor == 0
+    replace(bed, 6)
+    after = bed.balancer.threshold(1.0, 10)
+    assert after < 0.8 * before if falls else after > 0.9 * before
+
+
+def test_what_was_sent_to_a_stronger_pool_does_not_count_as_done_by_the_weaker_one():
+    """Guard: answers that come just after a loss made each server that was left look twice as able."""
+    bed = learned(10)
+    before = bed.balancer.peak
+    names = [bed.ask()[0:2] for _ in range(6)]
+    replace(bed, 6)
+    for name, acts in names:
+        for act in sent(acts):
+            bed.end(name, act.server, api.Result.OK, 100.0)
+    bed.period()
+    assert bed.balancer.peak < 1.5 * before
+
+
+def test_a_server_that_fails_is_no_strength():
+    bed = learned(10)
+    strength = bed.balancer.strength
+    for _ in range(40):
+        name, acts = bed.ask("post")
+        for act in sent(acts):
+            result = api.Result.ERROR if act.server == "s3" else api.Result.OK
+            bed.end(name, act.server, result, 100.0)
+    bed.period()
+    assert bed.balancer.strength < strength - 0.15
+
+
+def sent_to_cold(siblings: int) -> int:
+    """Calls that one node sends to a fresh server in 2 s, while all others tell of a queue."""
+    bed, count = learned(siblings), 0
+    bed.give(api.Membership(api.ListForm.DELTA, (api.Server("cold", "a", launched_ms=bed.now),)))
+    for _ in range(int(2000.0 / bed.balancer.period_ms)):
+        for _ in range(3):
+            bed.now += bed.balancer.period_ms / 3
+            name, acts = bed.ask()
+            server = sent(acts)[0].server
+            queue = 0.0 if server == "cold" else 9.0
+            bed.end(name, server, api.Result.OK, bed.balancer.period_ms / 3, report={"queue": queue})
+            count += server == "cold"
+        bed.period(0.0)
+    return count
+
+
+def test_of_many_nodes_a_cold_server_gets_more_than_the_least_that_it_can_do():
+    """Guard: paced by the stated share of what is asked, cold servers idled and the few warm ones choked."""
+    assert sent_to_cold(10) >= 1.5 * sent_to_cold(4)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_many_nodes_together_do_not_tip_a_cold_server(seed: int):
+    """Six of ten are replaced at one moment, before ten nodes: in every window what they send a new one together
+    stays under the rule."""
+    beds = [learned(10, seed=seed * 100 + at) for at in range(10)]
+    step, born = beds[0].balancer.period_ms / 3, max(bed.now for bed in beds)
+    for bed in beds:
+        bed.now = born
+        replace(bed, 6)
+    calls: dict[str, list[float]] = {}
+    out: list[tuple[Bed, str, str]] = []
+    for turn in range(1, 90):
+        for at, bed in enumerate(beds):
+            bed.now = born + 3 * step + turn * step + at
+            for row in [row for row in out if row[0] is bed]:
+                out.remove(row)
+                bed.end(row[1], row[2], api.Result.OK, step)
+            if turn % 3 == 0:
+                bed.period(0.0)
+            name, acts = bed.ask()
+            for act in sent(acts):
+                calls.setdefault(act.server, []).append(bed.now - born)
+                out.append((bed, name, act.server))
+    rate, window = 1.0 / step, 1500.0  # calls per ms to each of the ten, when all are warm
+    assert {f"new{at}" for at in range(6)} <= calls.keys()
+    for server, times in calls.items():
+        for start in times if server.startswith("new") else ():
+            able = rate * (0.2 + 0.8 * start / 10000.0)
+            assert sum(start <= time < start + window for time in times) <= FACTOR * able * window
