--- a/rosewheel/decide/interface.py
+++ b/rosewheel/decide/interface.py
@@ -116,6 +116,8 @@
             _within(key, getattr(self, key), 0)
         for key in ("siblings", "max_attempts"):
             _within(key, getattr(self, key), 1)
+            if getattr(self, key) % 1:
+                raise ValueError(f"{key}: {getattr(self, key)!r} is not a whole number")
         _within("tip_after_ms", self.tip_after_ms, 0.001)
         _within("over_share_worth", self.over_share_worth, 0, 1)
         _within("cold_from", self.cold_from, 0.001, 1)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -15,6 +15,9 @@
 import pytest
 from test_adapter import CONFIG
 
+from rosewheel.decide.policy import Balancer
+from rosewheel.decide.settings import settings_from
+
 ROOT = Path(__file__).parent.parent
 
 
@@ -67,6 +70,60 @@
     assert errors.count("\n") == 1
 
 
+@pytest.mark.parametrize("siblings", [0, -3, 2.5, "many", [], True])
+def test_a_malformed_count_of_nodes_is_named_at_the_start(tmp_path: Path, siblings: Any):
+    """Guards a whole tier: its nodes share by this count what they may send."""
+    process = start(tmp_path, good(settings=CONFIG | {"siblings": siblings}))
+    _, errors = process.communicate(timeout=60)
+    assert process.returncode == 2, errors
+    assert errors.startswith("rosewheel: ")
+    assert "siblings: " in errors
+    assert errors.count("\n") == 1
+
+
+@pytest.mark.parametrize("row", [{}, {"siblings": None}])
+def test_without_a_count_of_nodes_a_node_decides_as_one_by_itself(row: dict[str, Any]):
+    config = {key: value for key, value in CONFIG.items() if key != "siblings"} | row
+    settings = settings_from(config)
+    assert settings.siblings == 1
+    assert not Balancer(settings, 1, 0.0).many
+
+
+REFUSING = """
+import errno, os, socket, subprocess
+
+def no(*_, **__):
+    raise OSError(errno.ENOSYS, "refused here")
+
+class Socket(socket.socket):
+    def bind(self, address):
+        no() if self.family == socket.AF_UNIX else super().bind(address)
+
+    def connect(self, address):
+        no() if self.family == socket.AF_UNIX else super().connect(address)
+
+socket.socket = Socket
+os.fork = os.posix_spawn = os.sendfile = os.splice = subprocess.Popen = no
+"""
+
+
+def test_what_the_platform_refuses_costs_nothing(tmp_path: Path):
+    """Guards the days on which Unix sockets, other processes, splice and sendfile are refused: a node starts, says
+    nothing of it, answers and ends as ever."""
+    (tmp_path / "sitecustomize.py").write_text(REFUSING)
+    port = free_port()
+    more = {"PYTHONPATH": str(tmp_path), "TMPDIR": str(tmp_path)}
+    process = start(tmp_path, good(listen=f"127.0.0.1:{port}"), **more)
+    with connect(process, port) as client:
+        client.sendall(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert client.recv(4096).startswith(b"HTTP/1.1 503 ")
+        process.send_signal(signal.SIGTERM)
+        assert client.recv(4096) == b""
+    _, errors = process.communicate(timeout=60)
+    assert process.returncode == 0
+    assert "Traceback" not in errors
+
+
 def free_port() -> int:
     with socket.create_server(("127.0.0.1", 0)) as held:
         return int(held.getsockname()[1])
@@ -109,6 +166,9 @@
             assert process.stderr is not None
             lines = iter(process.stderr.readline, "")
             assert any("the configuration stays as it was: LB_CONFIG" in line for line in lines)
+            path.write_bytes(orjson.dumps({**row, "settings": CONFIG | {"siblings": "many"}}))
+            process.send_signal(signal.SIGHUP)
+            assert any("the configuration stays as it was: " in line and "siblings" in line for line in lines)
             path.write_bytes(orjson.dumps({**row, "discovery": second}))
             process.send_signal(signal.SIGHUP)
             assert asked(new).startswith("GET /catalog/members?follow=1&since=1 ")
