--- a/rosewheel/lab/plan.py
+++ b/rosewheel/lab/plan.py
@@ -302,6 +302,16 @@
         names = [spec.name for spec in equipos if scenario.tiers[spec.tier].name == tier]
         if trouble.kind in ("node-loss", "front-shift"):
             names = [f"n{number}" for number in range(scenario.nodes.count)]
+        if trouble.fresh:
+            started = {
+                name
+                for step in steps
+                if step.what == "start" and step.at_ms < trouble.at_s * 1000.0
+                for name in step.equipos
+            }
+            names = [
+                spec.name for spec in later if spec.name in started and scenario.tiers[spec.tier].name == tier
+            ]
         order = [names[pick] for pick in stream(seed, "trouble", at, "on").permutation(len(names))]
         on = tuple(order[: max(1, round(trouble.part * len(order)))])
         begin = trouble.at_s * 1000.0
--- a/rosewheel/lab/scenario.py
+++ b/rosewheel/lab/scenario.py
@@ -236,6 +236,7 @@
     on_s: Range = (1.2, 4.5)  # neighbour: how long it is on, or off, at a time
     drain_s: Range = (3.6, 5.6)  # deploy: from the drain to the stop
     boot_s: Range = 1.0  # deploy: from the drain to the start of what follows
+    fresh: bool = False  # errors, slow: of those that the deploys before it in the file have started by then
     cold: bool = False  # vanish: what comes back is a new process
     how: FAULTS = "reset"
     delay_ms: Natural = 500.0  # faults: of `delay`
@@ -253,6 +254,10 @@
             raise KeyedError("size", f"a trouble of kind {self.kind} needs one above zero")
         if self.cold and self.kind != "vanish":
             raise KeyedError("cold", f"a trouble of kind {self.kind} brings nothing back that could be")
+        if self.fresh and self.kind not in ("errors", "slow"):
+            raise KeyedError(
+                "fresh", f"a trouble of kind {self.kind} does not tell new equipos from old ones"
+            )
         if self.kind == "errors" and _top(self.size) > 1.0:
             raise KeyedError("size", "more than all of what comes")
         if self.kind == "neighbour" and _top(self.size) >= 1.0:
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -154,6 +154,18 @@
     assert 0 < tries < 18  # a tenth of them would be its even part
 
 
+def test_a_refusal_is_not_read_as_a_failure_of_its_server():
+    """Guards a server at its limit of connections: it turns away and serves what it has."""
+    bed = learned(10)
+    peer = bed.balancer.peers["s3"]
+    for _ in range(30):
+        name, acts = bed.ask("post")
+        server = sent(acts)[0].server
+        bed.end(name, server, api.Result.FULL if server == "s3" else api.Result.OK, 1.0, done=server != "s3")
+    assert peer.turned == 1
+    assert peer.errs == 0.0
+
+
 def test_a_server_that_was_full_is_passed_over_for_a_while_and_then_used_as_before():
     bed = learned(10, calls=6)
     peer = bed.balancer.peers["s3"]
--- a/tests/test_scenario.py
+++ b/tests/test_scenario.py
@@ -156,6 +156,14 @@
     assert after < 2.0 * 30.0
 
 
+def test_a_fault_of_fresh_equipos_falls_on_those_that_a_deploy_has_started():
+    one = plans.make(scenarios.load("fleet-join"))
+    at = len(one.scenario.troubles) - 1
+    on = {name for step in one.steps if step.trouble == at for name in step.equipos}
+    assert on
+    assert on <= {spec.name for spec in one.later}
+
+
 def test_a_deploy_drains_stops_and_starts_each_of_its_equipos_once():
     plan = plans.make(parse(GOOD, Scenario, "s"))
     by: dict[str, list[str]] = {}
