A node of many that starts before an all-cold pool takes it into use

Cause, found on reading: past four nodes a cold equipo's credit went by the peak of what is completed alone (_pace in policy.py), which is 0 where nothing was completed yet. A test of ten cold equipos saw 1 call of 200 sent. Now the credit goes by what is asked where that is more.

--- a/rosewheel/decide/policy.py
+++ b/rosewheel/decide/policy.py
@@ -492,7 +492,9 @@
 
     def _pace(self) -> float:
         """The credit per ms that a warm server would earn."""
-        return COLD_MORE * self.peak if self.many else self.asked_rate / max(1, len(self.pool.ready))
+        asked = self.asked_rate / max(1, len(self.pool.ready))
+        # Guard: before anything is completed, as where all are cold, what is asked has to do.
+        return max(COLD_MORE * self.peak, asked) if self.many else asked
 
     def _warmth(self, now: float, peer: Peer) -> float:
         """The least share of its capacity that a server has by now, as stated: 1 once it is warm."""
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -177,3 +177,19 @@
     assert sent(acts)[0].server == "s3"  # the only one with nothing in flight
     bed.end(name, "s3", api.Result.OK)
     assert peer.turned == 0
+
+
+def test_a_node_of_many_takes_a_pool_into_use_that_is_all_cold():
+    """Guard: paced by what is completed alone, a node that starts before cold servers never sent a call."""
+    bed = Bed(count=0, siblings=10)
+    bed.give(api.Membership(api.ListForm.FULL, servers(10, launched_ms=bed.now)))
+    served = 0
+    for at in range(200):
+        bed.now += 50.0
+        name, acts = bed.ask()
+        for act in sent(acts):
+            served += 1
+            bed.end(name, act.server, api.Result.OK, 10.0)
+        if at % 3 == 2:
+            bed.period(0.0)
+    assert served > 20
