--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -10,9 +10,11 @@
 
 import msgspec
 import pytest
+from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from rosewheel.cli.main import main
 from rosewheel.config.checked import ProblemsError
 from rosewheel.decide import interface as api
 from rosewheel.decide import policy
@@ -102,6 +104,14 @@
     assert simulate(plan.make(told, 2))["digest"] != summary["digest"]
 
 
+def test_a_simulated_run_has_its_report(tmp_path: Path) -> None:
+    arguments = ["simulate", "quiet", "--seconds", "3", "--out", str(tmp_path / "out")]
+    got = CliRunner().invoke(main, arguments)
+    assert got.exit_code == 0, got.output
+    page = (tmp_path / "out" / "report.html").read_text()
+    assert msgspec.json.decode(got.output.strip().rpartition("\n")[2])["digest"] in page
+
+
 # ------------------------------------------------------------------- troubles
 
 TROUBLES = st.fixed_dictionaries(
@@ -228,7 +238,7 @@
     assert any(one["rules"]["tipped"] for one in unpaced)
 
 
-@pytest.mark.parametrize("name", ["fleet-join", "fleet-zone", "fleet-disco"])
+@pytest.mark.parametrize("name", ["fleet-join", "fleet-zone", "fleet-disco", "fleet-below"])
 def test_forty_nodes_keep_the_rules_through_a_loss_of_most(name: str) -> None:
     """Short forms: the trouble and what comes right after it."""
     summary = simulate(plan.make(scenario.load(name, {"seconds": 13})))
