At nodes of many, errors that shedding does not lessen are soon no load

Of what moves the cursor only errors were over their target: failing equipos and the lost third of the tiers below, 0.16 over usual. At fault: _on_period, where the usual share of errors follows a higher one by 0.02 a period however much is shed meanwhile. Change: it follows faster by 0.5 of what is shed. At first errors count as before.

--- a/rosewheel/decide/policy.py
+++ b/rosewheel/decide/policy.py
@@ -56,6 +56,9 @@
 FULL_TARGET = 0.05  # target share of attempts turned away
 ERR_WEIGHTY = 20.0  # outcomes that give a period half the say in the smoothed share of errors
 ERR_RISE = 0.02  # how fast the usual share of errors follows a higher one, by period
+# At a node of many, and by so much faster for all that is shed. Errors that shedding does not lessen are no
+# load: a fault below, or a few equipos, had all nodes refuse for ten seconds at a quiet latency.
+ERR_RISE_SHED = 0.5
 RATE_MS = 1000.0  # smoothing of the completion rate
 PEAK_MS = 15000.0  # how slowly the rate's peak is forgotten
 # In a large pool a node of many completes little, and the peak of a rate by few is chance: who had luck took
@@ -677,7 +680,8 @@
             # usual share counts. Harm: refusals below that last for many seconds, and that shedding here does
             # not lessen, come to count as usual too; latency and refusals by the servers still tell.
             self.erring += self.ended / (self.ended + ERR_WEIGHTY) * (self.errors / self.ended - self.erring)
-            self.usual += (BASE_FALL if self.erring < self.usual else ERR_RISE) * (self.erring - self.usual)
+            rises = ERR_RISE + (ERR_RISE_SHED * (1.0 - self.shape[self.cursor]) if self.many else 0.0)
+            self.usual += (BASE_FALL if self.erring < self.usual else rises) * (self.erring - self.usual)
             load = max(load, (self.erring - self.usual) / (FULL_TARGET + self.usual))
         self.silent = 0 if self.ended else self.silent + 1
         if self.silent == 0 or self.silent > SILENT:
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -193,3 +193,19 @@
         if at % 3 == 2:
             bed.period(0.0)
     assert served > 20
+
+
+@pytest.mark.parametrize(("siblings", "goes_on"), [(10, False), (4, True)])
+def test_errors_that_shedding_does_not_lessen_are_soon_no_load(siblings: int, goes_on: bool):
+    """Guard: what is lost below, or a few servers that fail, had all nodes refuse for long at a quiet latency."""
+    bed, cursors = learned(siblings, calls=6), []
+    for _ in range(30):
+        for at in range(6):
+            name, acts = bed.ask("post")
+            for act in sent(acts):
+                result = api.Result.ERROR if at < 2 else api.Result.OK
+                bed.end(name, act.server, result, bed.balancer.period_ms / 6)
+        bed.period(0.0)
+        cursors.append(bed.balancer.cursor)
+    assert max(cursors) >= 3, "errors may be a tier below that refuses: at first they count"
+    assert (cursors[-1] > 6) is goes_on
