Nodes of many give idle connections back where new ones are refused

Need: what each of many nodes keeps for later adds up at every equipo. All twelve were idle ones of nodes that hardly used them, closed only after 24 s, and every other node was turned away. At fault: Upstream._sweep, which knew no reason to give back but age. Change: how long connections rest is decided in node/rest.py, without I/O, for the sockets and for virtual time. A new connection whose first request is turned away halves it, everywhere and at most twice a second, down to half a second; forgotten by doubling each 20 s. Four nodes and fewer keep theirs.

--- a/rosewheel/http/connection.py
+++ b/rosewheel/http/connection.py
@@ -446,6 +446,8 @@
     def _answered(self, keep: bool) -> None:
         status = self.parser.get_status_code()
         if status in (503, 504) and self.not_started:
+            if not self.idle_since:  # its first
+                self.owner.refused()
             self._end(Result.FULL, keep)
         elif status == 200 and self.exchange is not None and self.exchange.sent:
             self._end(Result.OK, keep)
--- a/rosewheel/http/equipos.py
+++ b/rosewheel/http/equipos.py
@@ -5,7 +5,6 @@
 import asyncio
 import itertools
 import logging
-import math
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -15,16 +14,13 @@
 from rosewheel.http.body import Body
 from rosewheel.http.connection import Connection, Exchange, Lift, Pool, Report, Sink, report_from
 from rosewheel.node.bounds import Bounds
+from rosewheel.node.rest import Rest
 
 log = logging.getLogger("rosewheel.equipos")
 
 SETTLE_S = 0.002  # what belongs to no answer comes right behind one: until then its connection rests
 IDLE_PART = 4  # one server's idle connections hold no more than this part of the descriptors
-IDLE_SHARE = 0.8  # a connection is retired after this share of the time in which its server may close it
 SWEEP_S = 0.5
-REST_SHARE = 0.5  # connections that have rested for this share of that time are not used again,
-REST_LEAST_S = 0.02  # but for no less than this,
-REST_FORGET_S = 20.0  # and each time this long passes without such a reset, twice as long
 SAME_START_MS = 1000.0  # two processes reckon a server's start from the list to within this
 SILENT_S = 0.5  # a server that says nothing at all for so long, while it owes an answer, may have vanished
 
@@ -47,6 +43,7 @@
         probed: Probed,
         began: Began,
         tried: Callable[[], None],
+        crowds: bool = False,
     ) -> None:
         self.bounds, self.make_room, self.ended, self.probed = bounds, make_room, ended, probed
         self.began = began
@@ -58,8 +55,7 @@
         # without a look at pools, of which there may be thousands.
         self.resting: dict[Connection, None] = {}
         self.opened = self.coming = 0  # connections, and those that are coming up
-        self.rest_s = math.inf  # how long a connection may rest, by what resets have taught
-        self.taught_s = 0.0  # when they last did, or when a part of it was last forgotten
+        self.rest = Rest(bounds.conn_idle_ms / 1000.0, crowds)
         self.spoilt, self.why = 0, ""  # answers that were none, since they were last logged; the last one
         self.loop = asyncio.get_running_loop()
         self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
@@ -179,7 +175,7 @@
             if conn.idle_since > rested:
                 continue
             self.wake(conn)
-            if now - conn.idle_since < self.rest_s and conn.usable():
+            if now - conn.idle_since < self.rest.usable_s and conn.usable():
                 conn.send(exchange)
                 return
             conn.close()
@@ -218,7 +214,7 @@
         for conn in reversed(self.resting):
             if now - conn.idle_since <= SETTLE_S:
                 continue
-            if now - conn.idle_since >= self.rest_s:
+            if now - conn.idle_since >= self.rest.usable_s:
                 break
             if self._open_to(conn.pool.host) and conn.usable():
                 self.wake(conn)
@@ -244,7 +240,7 @@
         theirs, ours = state["launched"], pool.launched_ms
         if (theirs is None) is not (ours is None) or (ours and abs(theirs - ours) > SAME_START_MS):
             return False
-        return float(state["rested_s"]) < min(self.rest_s, self.bounds.conn_idle_ms / 1000.0 * IDLE_SHARE)
+        return float(state["rested_s"]) < self.rest.limit_s
 
     async def adopt_idle(self, sock: socket.socket, state: dict[str, Any]) -> None:
         pool = self.pools.get(state["host"])
@@ -279,18 +275,17 @@
             conn.close()
 
     def stale(self, rested_s: float) -> None:
-        """A connection that had rested for so long was of no use, and only the request found out. Guards what
-        must not be repeated. Harm: more new connections than there need be, until that is forgotten."""
-        self.taught_s = self.loop.time()
-        limit = max(REST_LEAST_S, rested_s * REST_SHARE)
-        if limit < self.rest_s:
-            self.rest_s = limit
-            log.info("connections go stale: they may rest for %.3f s from now on", limit)
+        """A connection that had rested for so long was of no use, and only the request found out."""
+        if self.rest.stale(self.loop.time(), rested_s):
+            log.info("connections go stale: they may rest for %.3f s from now on", self.rest.usable_s)
+
+    def refused(self) -> None:
+        """A new connection's first request was turned away."""
+        self.rest.refused(self.loop.time())
 
     def recall(self, rest_s: float) -> None:
-        """What an earlier process had been taught of connections that go stale; forgotten like one's own."""
-        if rest_s < self.rest_s:
-            self.rest_s, self.taught_s = max(REST_LEAST_S, rest_s), self.loop.time()
+        """What an earlier process had been taught of connections that go stale."""
+        self.rest.recall(self.loop.time(), rest_s)
 
     @property
     def descriptors(self) -> int:
@@ -334,10 +329,8 @@
         for exchange in list(self.live.values()):
             if exchange.conn is not None and not exchange.sent:
                 exchange.conn.give_up_if_untaken()
-        longest = self.bounds.conn_idle_ms / 1000.0 * IDLE_SHARE
-        if self.rest_s < longest and self.loop.time() - self.taught_s >= REST_FORGET_S:
-            self.rest_s, self.taught_s = self.rest_s * 2.0, self.loop.time()
-        oldest = self.loop.time() - min(longest, self.rest_s)
+        self.rest.forget(self.loop.time())
+        oldest = self.loop.time() - self.rest.limit_s
         for conn in list(itertools.takewhile(lambda conn: conn.idle_since <= oldest, self.resting)):
             self.wake(conn)
             conn.close()
--- a/rosewheel/relay/relay.py
+++ b/rosewheel/relay/relay.py
@@ -18,6 +18,7 @@
 from rosewheel.config.platform import Config
 from rosewheel.decide.interface import ListForm, Request, Result
 from rosewheel.decide.learned import Learned
+from rosewheel.decide.policy import FEW
 from rosewheel.discovery.catalog import Discovery, Entry, entries_from
 from rosewheel.handover.moves import Moves
 from rosewheel.handover.offers import WINDOW
@@ -82,7 +83,13 @@
         self.state = State(config.state, self._shared, self._company, config.inherited is not None)
         self.node = Node(config.settings, config.bounds, config.seed, now_ms())
         self.upstream = Upstream(
-            config.bounds, self._make_room, self._ended, self._probed, self._began, self.node.figures.tried
+            config.bounds,
+            self._make_room,
+            self._ended,
+            self._probed,
+            self._began,
+            self.node.figures.tried,
+            crowds=config.settings.siblings > FEW,
         )
         self.budget = Budget(0)
         self.server = Server(
@@ -159,7 +166,7 @@
         self.snapshots.start()
 
     def _learned(self) -> tuple[Learned, float]:
-        return self.node.learned(now_ms()), self.upstream.rest_s
+        return self.node.learned(now_ms()), self.upstream.rest.usable_s
 
     def reload(self, config: Config) -> None:
         """Take over what may change while the node runs: the address of discovery, and the limits."""
