A rate taken back from an earlier process is not overwritten by the first period

With many nodes a rate counts its first periods alike; after a recall that count began at nothing, so the first period stood for all that was learned (the peak was kept). recall now counts as many periods as the rate is smoothed over, by the age of what is taken back. A test that fails without.

--- a/rosewheel/decide/policy.py
+++ b/rosewheel/decide/policy.py
@@ -331,6 +331,8 @@
         self.cursor = min(len(self.shape) - 1, int(old.cursor * weight(age_ms, CURSOR_MS)))
         self.rate, self.peak = (figure * fleeting / self.strength for figure in (old.rate, old.peak))
         self.asked_rate = old.asked_rate * fleeting
+        if self.many and old.rate > 0.0:  # as many periods are behind these as a rate is smoothed over
+            self.counted = int(fleeting * LONGER * RATE_MS / self.period_ms)
         self.erring, self.usual = old.erring * fleeting, min(1.0, old.usual) * fleeting
         return known
 
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -247,3 +247,15 @@
         bed.end(name, server, api.Result.ERROR if server == "s3" else api.Result.OK, 1.0)
     assert peer.failed == 1
     assert peer.shy_ms < bed.now
+
+
+def test_a_rate_taken_back_is_not_forgotten_with_the_first_period():
+    """Guard: one period in which little was completed stood for the rate of an hour."""
+    old = learned(10, calls=6)
+    new = Bed(count=10, siblings=10)
+    new.now = old.now
+    new.balancer.recall(new.now, old.balancer.learned(old.now), 50.0)
+    before = new.balancer.rate
+    new.serve(latency=100.0)
+    new.period()
+    assert before * 0.7 < new.balancer.rate <= before
