--- a/rosewheel/decide/policy.py
+++ b/rosewheel/decide/policy.py
@@ -90,7 +90,6 @@
 ROW_GAP_MANY = 0.6
 # Half the time for which others go before a server where an attempt never ran; doubled with each in a row.
 SHY_MS = 250.0
-FAILS = 2  # the same after so many errors in a row, and after each more: one may come from the tier below
 SHY_MAX_MS = 4000.0  # the longest such time: lists are late by more, but it may have been full and no more
 SHY = 100.0  # what its rank counts for meanwhile
 STRENGTH_MS = 3000.0  # what a weaker pool completes was sent in part while it was stronger: for about so long
@@ -624,12 +623,7 @@
             peer.turned += 1
             peer.shy_ms = now + min(SHY_MAX_MS, SHY_MS * 2.0 ** min(8, peer.turned))
         elif result is api.Result.OK:
-            peer.turned, peer.failed, peer.shy_ms = 0, 0, -math.inf
-        elif self.many and result is api.Result.ERROR:
-            # Guard: one that fails fast has the least in flight, and every node met six of its errors first.
-            peer.failed += 1
-            if peer.failed >= FAILS:
-                peer.shy_ms = now + min(SHY_MAX_MS, SHY_MS * 2.0 ** min(8, peer.failed))
+            peer.turned, peer.shy_ms = 0, -math.inf
         if result is api.Result.FULL:
             self.full += peer.turned <= 1
             peer.queue, peer.told_ms = max(peer.queue, peer.load), now
--- a/rosewheel/decide/pool.py
+++ b/rosewheel/decide/pool.py
@@ -42,7 +42,6 @@
     paced_ms: float = -math.inf
     returned_ms: float = -math.inf  # when operators let it serve again, with no word of its start since
     turned: int = 0  # attempts in a row that never ran there: turned away, or no connection
-    failed: int = 0  # attempts in a row that ended with its error, with no success since
     shy_ms: float = -math.inf  # until when others go before it for that
     ready: bool = False  # it may be sent to
     due: bool = False  # it waits in the heap of cold ones
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -211,44 +211,6 @@
     assert (cursors[-1] > 6) is goes_on
 
 
-def errors_at_one(siblings: int) -> int:
-    """Calls of 120 periods that meet a server which answers everything with an error at once, while all others
-    have some five calls in flight."""
-    bed, met, out = learned(siblings, calls=18), 0, []
-    for _ in range(120):
-        for _ in range(18):
-            bed.now += bed.balancer.period_ms / 18
-            name, acts = bed.ask("post")
-            for act in sent(acts):
-                if act.server == "s3":
-                    met += 1
-                    bed.end(name, act.server, api.Result.ERROR, 1.0)
-                else:
-                    out.append((name, act.server))
-        for name, server in out[:-50]:
-            bed.end(name, server, api.Result.OK, 100.0)
-        del out[:-50]
-        bed.balancer.peak = 1.0  # nothing is refused
-        bed.period(0.0)
-    return met
-
-
-def test_a_server_that_fails_in_a_row_is_left_alone_for_a_while_by_many():
-    """Guard: with nothing in flight it is the best of every node that has met few of its errors."""
-    assert 2 <= errors_at_one(10) <= 0.8 * errors_at_one(4)
-
-
-def test_one_error_alone_says_nothing_of_its_server():
-    bed = learned(10)
-    peer = bed.balancer.peers["s3"]
-    while peer.errs == 0.0:
-        name, acts = bed.ask("post")
-        server = sent(acts)[0].server
-        bed.end(name, server, api.Result.ERROR if server == "s3" else api.Result.OK, 1.0)
-    assert peer.failed == 1
-    assert peer.shy_ms < bed.now
-
-
 def test_a_rate_taken_back_is_not_forgotten_with_the_first_period():
     """Guard: one period in which little was completed stood for the rate of an hour."""
     old = learned(10, calls=6)
