Nodes of many come apart less in overload: their target rises more with what they shed

Whoever has the lowest sheds for all; others take it up, so its latency does not fall. At fault: _on_period, where the target rises by no more than 0.3 towards the table's far end. Change: by 1.0 where more than four nodes share the first tier.

--- a/rosewheel/decide/policy.py
+++ b/rosewheel/decide/policy.py
@@ -42,6 +42,9 @@
 FEWEST = 8.0  # or than this from here alone
 SLACK = 0.10  # target: quiet latency plus this share of the way from there to the aim
 GROWS = 0.3  # and this share more at the table's far end
+# The same of many nodes. By a few hundredths of difference in what each holds for quiet, and few answers a
+# period, one shed nearly all for good and another nothing. Harm: a choking pool is relieved less.
+GROWS_MANY = 1.0
 SLACK_SEEN = 0.35  # the same where utilisation is reported: latency then stands for the tiers below only
 SILENT = 8  # periods without an outcome that leave the cursor where it is; after them it steps left
 WEIGHTY = 10.0  # outcomes that give a period half the say in the smoothed latency where it is higher,
@@ -671,7 +674,7 @@
             # Guard: nodes before one pool learn unlike baselines, and the lowest shed for all: others took
             # up what it shed, so its latency did not fall. The more a node sheds, the more it takes to go on.
             # Also against a baseline too low for any other reason. Harm: a choking pool is relieved less.
-            load /= 1.0 + GROWS * (1.0 - self.shape[self.cursor])
+            load /= 1.0 + (GROWS_MANY if self.many else GROWS) * (1.0 - self.shape[self.cursor])
         if utils is not None:
             load = max(load, utils / UTIL_TARGET)
         if self.ended:
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -6,6 +6,7 @@
 from helpers import Bed, sent, servers
 
 from rosewheel.decide import interface as api
+from rosewheel.decide import policy
 
 FACTOR = 4.0  # of the rule on cold servers
 
@@ -221,3 +222,21 @@
     new.serve(latency=100.0)
     new.period()
     assert before * 0.7 < new.balancer.rate <= before
+
+
+@pytest.mark.parametrize(("siblings", "locked"), [(10, False), (4, True)])
+def test_a_node_of_many_does_not_shed_nearly_all_for_a_latency_that_others_bear(siblings: int, locked: bool):
+    """Guard: of nodes that see one latency, whoever had the lowest baseline shed for all of them, and for good."""
+    bed = learned(siblings, calls=6)
+    base = bed.balancer.base
+    assert base is not None
+    target = base + policy.SLACK * (1.0 - base)
+    aim = bed.balancer.mean_aim
+    for _ in range(60):
+        for _ in range(6):
+            name, acts = bed.ask("post")
+            for act in sent(acts):
+                bed.end(name, act.server, api.Result.OK, 1.5 * target * aim)
+        bed.period()
+    assert bed.balancer.cursor > policy.FLAT
+    assert (bed.balancer.cursor == len(bed.balancer.shape) - 1) is locked
