--- a/rosewheel/node/rest.py
+++ b/rosewheel/node/rest.py
@@ -9,7 +9,7 @@
 STALE_LEAST_S = 0.02  # are not used again, but for no less than this,
 FORGET_S = 20.0  # and each time this long passes without such a reset, or refusal, twice as long
 # What many nodes keep for later adds up at each server: at one that holds no more connections, idle ones of
-# nodes that hardly need them shut out all others, who were refused four calls of five with a server idle.
+# nodes that hardly need them shut out all others: service fell to a quarter while servers had little to do.
 CROWDED_SHARE = (
     0.5  # a refused new connection leaves this share of the time, everywhere: the others are told too
 )
