A watch on discovery is always open, a new process hears the list first, lists may be indented

Discovery came back at 7.527 s. Three nodes had a watch open that was silent, and heard at 7.527; the others had given theirs up (silent for 2.5 s) and waited for the next try: node 4 heard at 7.974, 447 ms after what the agent had counted as told, where a drain allows 450. With more tries in vain the wait grew to a second. Ruled out: that silent watches stay silent at the return (those three were answered at once). At fault: Relay._heard, which waited 0.25 to 1 s after every end of a watch, also one that had lasted. Now the wait is a part of the settings' drain grace (an eighth, later a third), and one that lasted is followed at once; a pushed watch is given up after 3.2 s of silence, so that a second one that is silent too fits under the 6 s.

Found by reading: - A new process listened with the list it was given while the agent's counts as told from its first moment. It now takes callers once the agent has spoken, or after half a second of silence (Relay.start). - A list that is indented over several lines was taken for a bad line, and the watch opened anew without end (Discovery.line). A line that is cut, or a list whose count is no number, ends the watch as before. - While discovery is gone a line of log came with every try; now one for each reason.

--- a/rosewheel/config/operator.py
+++ b/rosewheel/config/operator.py
@@ -91,6 +91,7 @@
     cold_from: Annotated[float, Meta(gt=0, le=1)] = 1.0
     cold_ms: Natural = 0.0
     tip_after_ms: Positive = 1500.0
+    drain_grace_ms: Positive = 400.0
 
 
 class ClassTable(Table, frozen=True, kw_only=True):
@@ -200,6 +201,7 @@
         bounds=Bounds(
             conn_idle_ms=told.limits.connection_idle_ms,
             connect_timeout_ms=told.limits.connect_timeout_ms,
+            drain_grace_ms=told.routing.drain_grace_ms,
             max_open=told.limits.max_open,
             second_copies=told.routing.second_copies,
             may_probe=told.routing.probes,
--- a/rosewheel/config/platform.py
+++ b/rosewheel/config/platform.py
@@ -89,10 +89,12 @@
 def _typed(row: dict[str, Any], inherited: int | None, state: str | None) -> Config:
     settings: dict[str, Any] = row["settings"]
     allowed: dict[str, Any] = settings.get("bounds") or {}
+    rules: dict[str, Any] = settings.get("invariants") or {}
     limits: dict[str, Any] = row.get("limits") or {}
     given = {
         "conn_idle_ms": (float, allowed.get("connIdleMs")),
         "connect_timeout_ms": (float, allowed.get("connectTimeoutMs")),
+        "drain_grace_ms": (float, rules.get("drainGraceMs")),
         "max_open": (int, allowed.get("maxOpen")),
         "second_copies": (bool, allowed.get("secondCopies")),
         "may_probe": (bool, allowed.get("mayProbe")),
--- a/rosewheel/discovery/catalog.py
+++ b/rosewheel/discovery/catalog.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import re
 import time
 from collections import deque
 from collections.abc import Callable, Iterable, Iterator
@@ -17,14 +18,19 @@
 
 log = logging.getLogger("rosewheel.discovery")
 
-# An empty line comes every 2 s; after two missed ones the watch is dead. Not longer, because what it has
-# to tell counts as told 6 s later, heard or not: by then the module must have asked again and had an answer.
+# An empty line comes every 2 s. What a silent watch has to tell counts as told 6 s after it fell silent, heard or not:
+# by then it must have been noticed, and another one opened and heard. Where lists are asked for a call costs the one
+# service something, so two lines have to be missed; where they are pushed it is free, and after one there is time left
+# for a second try that is silent as well.
 SILENCE_S = 4.5
+SILENCE_PUSHED_S = 3.2
 CONNECT_S = 2.0
 FIRST_S = 2.5  # the agent answers at once, and says something every 2 s
 SLICE = 250  # entries that are taken at a time: a longer list must not hold up the requests meanwhile
 LINE_BYTES = 4 << 20  # Guards memory against a line that never ends
 
+STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
+
 STATES = {"active": ServerState.UP, "leaving": ServerState.DRAINING, "left": ServerState.REMOVED}
 OFFSET_MS = time.monotonic() * 1000.0 - time.time() * 1000.0  # taken once, so that a start time stays equal
 
@@ -38,7 +44,7 @@
     for row in rows if isinstance(rows, list) else ():
         try:
             entries.append(_entry(row))
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, OverflowError, AttributeError) as error:
             log.warning("entry left out: %s: %.200r", error, row)
     return entries
 
@@ -129,16 +135,27 @@
 
 class Discovery:
     """Opens a watch when told to; each one ends in exactly one FAILED, unless a newer one replaces it. `known` are
-    the hosts of the list with which its owner begins."""
-
-    def __init__(self, address: Address, since: int, heard: Heard, known: Iterable[str] = ()) -> None:
+    the hosts of the list with which its owner begins, `silence_s` is how long a watch may say nothing."""
+
+    def __init__(
+        self,
+        address: Address,
+        since: int,
+        heard: Heard,
+        known: Iterable[str] = (),
+        silence_s: float = SILENCE_S,
+    ) -> None:
         self.address, self.since, self.heard = address, since, heard
+        self.silence_s = silence_s
         self.lists = Lists(heard, known)
+        self.opened_s = 0.0  # when the last watch was begun
+        self._why = ""  # why the last one ended, if nothing was heard since
         self._watch: _Watch | None = None
         self._task: asyncio.Task[None] | None = None
 
     def watch(self) -> None:
         self.close()
+        self.opened_s = asyncio.get_running_loop().time()
         self._watch = watch = _Watch(self)
         self._task = asyncio.get_running_loop().create_task(self._connect(watch))
 
@@ -174,16 +191,31 @@
         if watch is self._watch:
             self._watch = None
             watch.close()
-            log.info("the watch ended: %s", why)
+            if why != self._why:  # Guards the log: while there is no discovery a try follows the other
+                log.info("the watch ended: %s", why)
+            self._why = why
             self.heard(ListForm.FAILED, [])
 
     def line(self, watch: _Watch, text: bytes) -> None:
-        if watch is not self._watch or not text.strip():
+        if watch is not self._watch:
+            return
+        if watch.half:
+            # A list may be indented, and so go over several lines; it is whole where its brackets are.
+            if not text.strip() or len(watch.half) > LINE_BYTES:
+                self.failed(watch, f"a list was cut short: {watch.half[:200]!r}")
+                return
+            text, watch.half = watch.half + b"\n" + text, b""
+        elif not text.strip():
             return
         try:
             row = orjson.loads(text)
             seq, whole, rows = int(row["seq"]), bool(row.get("whole")), row["hosts"]
-        except (ValueError, KeyError, TypeError) as error:
+            if not isinstance(rows, list):
+                raise TypeError("hosts is not a list")
+        except (ValueError, KeyError, TypeError, OverflowError) as error:
+            if isinstance(error, orjson.JSONDecodeError) and _goes_on(text):
+                watch.half = text
+                return
             # What was changed is not known, so the next watch has to begin where this one still made sense.
             self.failed(watch, f"not a list: {error}: {text[:200]!r}")
             return
@@ -196,16 +228,27 @@
             watch.told = True
             form = "whole" if whole else "changes"
             log.info("told from %d to %d: %s, %d entries", self.since, seq, form, len(rows))
-        self.since = seq
+        self.since, self._why = seq, ""
         self.lists.take(whole, rows)
 
 
+def _goes_on(text: bytes) -> bool:
+    """Whether this is the beginning of an object whose end may be in the lines that follow."""
+    if not text.lstrip().startswith(b"{"):
+        return False
+    bare = STRING.sub(b"", text)
+    opens = bare.count(b"{") + bare.count(b"[")
+    # A string that is not closed here was cut: no line's end stands within one.
+    return b'"' not in bare and opens > bare.count(b"}") + bare.count(b"]")
+
+
 class _Watch(asyncio.Protocol):
     def __init__(self, owner: Discovery) -> None:
         self.owner = owner
         self.parser = httptools.HttpResponseParser(self)
         self.transport: asyncio.Transport | None = None
         self.buffer = b""
+        self.half = b""  # of a list that goes over several lines, those that have come
         self.told = False
         self.loop = asyncio.get_running_loop()
         self.limit = FIRST_S  # how long it may be silent
@@ -235,7 +278,7 @@
             self.owner.failed(self, f"answered {status}")
 
     def on_body(self, data: bytes) -> None:
-        self.limit = SILENCE_S
+        self.limit = self.owner.silence_s
         *lines, self.buffer = (self.buffer + data).split(b"\n")
         for line in lines:
             self.owner.line(self, line)
--- a/rosewheel/node/bounds.py
+++ b/rosewheel/node/bounds.py
@@ -12,6 +12,7 @@
     conn_idle_ms: float = 10000.0
     connect_timeout_ms: float = 250.0
     probe_timeout_ms: float = 250.0
+    drain_grace_ms: float = 400.0  # how soon a drain has to be heard of
     max_open: int = 20000
     second_copies: bool = True
     may_probe: bool = False
--- a/rosewheel/relay/relay.py
+++ b/rosewheel/relay/relay.py
@@ -19,7 +19,7 @@
 from rosewheel.decide.interface import ListForm, Request, Result
 from rosewheel.decide.learned import Learned
 from rosewheel.decide.policy import FEW
-from rosewheel.discovery.catalog import Discovery, Entry, entries_from
+from rosewheel.discovery.catalog import SILENCE_PUSHED_S, SILENCE_S, Discovery, Entry, entries_from
 from rosewheel.handover.moves import Moves
 from rosewheel.handover.offers import WINDOW
 from rosewheel.handover.service import Handover
@@ -60,9 +60,14 @@
 # 1.7 ms from a request's arrival to its first attempt and 1.4 ms from an answer to the caller.
 MARGIN_MS = 5.0
 FIRST_LIST_S = 1.5  # how long a process that takes over waits for discovery; then the known list has to do
-# Where lists are pushed the module never asks. The wait before a watch is opened again, doubled at each
-# failure up to the most: with the watch's time-outs that is within the 6 s after which all counts as told.
-REWATCH_S, REWATCH_MAX_S = 0.25, 1.0
+# What the agent has counts as told to a new process from its first moment, so that it begins with what the agent
+# says, where lists are pushed. A silent one is waited for in vain, and may be so for many seconds.
+FIRST_PUSHED_S = 0.5
+# Where lists are pushed the module never asks, and asking the agent is free. What discovery has at its return counts
+# as told at once, so a watch has to be open then: one follows the other at no more than these parts of the time that
+# a drain allows, the second part once several have come to nothing. One that lasted longer is followed at once.
+REWATCH_PART, REWATCH_MOST_PART = 8.0, 3.0
+REWATCH_LEAST_S = 0.02  # Guards the processor, whatever a drain allows
 METHODS = (b"GET", b"POST")
 WHOLE = re.compile("[0-9]{1,7}")  # in ms: some hours, far past every class's patience
 DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
@@ -109,7 +114,11 @@
         since = config.known.get("seq")
         known = [server.address for server, _ in entries_from(config.known.get("hosts"))]
         self.discovery = Discovery(
-            config.discovery, since if isinstance(since, int) else 0, self._heard, known
+            config.discovery,
+            since if isinstance(since, int) else 0,
+            self._heard,
+            known,
+            SILENCE_S if config.settings.ask_discovery else SILENCE_PUSHED_S,
         )
         self.calls: dict[str, Call] = {}
         self.unheard = 0  # watches that ended since one last had something to tell
@@ -120,7 +129,7 @@
         self._armed = 0.0
 
     async def start(self) -> None:
-        """Listen, and begin with the list as last known: calls can be served before discovery answers.
+        """Begin with the list as last known, and with what the agent says where lists are pushed; then listen.
         Where another process serves meanwhile, callers are taken once discovery has answered."""
         # First, so that a bad address ends the node before it has asked anything.
         inherited, door = self.config.inherited, None
@@ -134,13 +143,20 @@
         self._recall()
         if not self.config.settings.ask_discovery:
             self.discovery.watch()
-        if self.taking_over:
+        first_s = self._first_s()
+        if first_s > 0.0:
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(FIRST_LIST_S):
+                async with asyncio.timeout(first_s):
                     await self._told.wait()
         await self.server.start(sock)
         self.handover.serve()
 
+    def _first_s(self) -> float:
+        """How long callers wait for the first word of discovery."""
+        if self.taking_over:
+            return FIRST_LIST_S
+        return 0.0 if self.config.settings.ask_discovery else FIRST_PUSHED_S
+
     async def _borrow(self) -> tuple[int | None, socket.socket | None]:
         """Where this process binds its sockets itself and another one of this node is there: that one's listening
         socket, and that of its door, as far as they are those that are wanted."""
@@ -389,10 +405,13 @@
             if self.config.settings.ask_discovery:
                 self.apply(self.node.members(now_ms(), form))
             else:
-                wait = min(REWATCH_MAX_S, REWATCH_S * 2.0**self.unheard)
+                grace_s = self.config.bounds.drain_grace_ms / 1000.0
+                wait = min(grace_s / REWATCH_MOST_PART, grace_s / REWATCH_PART * 2.0**self.unheard)
                 self.unheard = min(8, self.unheard + 1)
                 # Drawn, so that the nodes of a service do not all come back to it at one moment.
-                self.loop.call_later(wait * self.random.uniform(0.6, 1.0), self._rewatch)
+                wait = max(wait, REWATCH_LEAST_S) * self.random.uniform(0.6, 1.0)
+                lasted = self.loop.time() - self.discovery.opened_s
+                self.loop.call_later(max(0.0, wait - lasted), self._rewatch)
             return
         if form is not ListForm.CACHED:
             self._told.set()
