A request whose caller has left is not sent on, wherever it waited

A caller that left was noticed late or its request went out all the same: - while its connection to an equipo came up, where the settings allow no cancel (Relay._gone left the attempt to the module, which may not take it back); half a body was kept with its connection for good, as no deadline runs before a request's last byte; - behind other requests on a connection that is not read (Caller._throttle): the loop tells of no end there. Such callers are now asked of the system ten times a second; - where request and end lay side by side before a loop that is late (Caller._ask), and where an end of sending waited for an answer that was not taken (eof_received). What is not written whole is withdrawn as never run. The callers' end is taken as before: closing, resetting and ending the sending all mean that it has left.

--- a/rosewheel/http/caller.py
+++ b/rosewheel/http/caller.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import os
+import select
 import socket
 import struct
 from collections import deque
@@ -145,6 +146,29 @@
             self.server.gone(call)
             call.body.release()
 
+    def eof_received(self) -> None:
+        """It sends no more, and so has left, by the protocol: what waits here must not be sent on. The loop
+        closes the connection once what was written has gone out, and that may take its time."""
+        if self.lifted is None:
+            self._forget()
+
+    def forget_if_left(self) -> bool:
+        """Guards equipos against work that nobody waits for: while its connection is not read, or the loop is
+        late, the loop does not hear of a caller's end. The system knows of it, and is asked."""
+        transport = self.transport
+        if transport is None or transport.is_closing() or self.lifted is not None:
+            return False
+        poller = select.poll()
+        poller.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        if not poller.poll(0):
+            return False
+        self._forget()
+        if self.choked:  # it does not read what it is owed, either
+            transport.abort()
+        else:
+            transport.close()
+        return True
+
     def pause_writing(self) -> None:
         self.choked = True
         self._throttle()
@@ -167,6 +191,7 @@
             self.paused = pause
             if pause:
                 self.transport.pause_reading()
+                self.server.unread(self)
             else:
                 self.transport.resume_reading()
 
@@ -527,6 +552,9 @@
             self._write(503, b"")  # the module never sees it, so it is never sent
             call.body.release()
             return
+        if self.transport is None or self.transport.is_closing() or self.forget_if_left():
+            call.body.release()
+            return
         self.current = call
         self.since = self.server.loop.time()
         try:
--- a/rosewheel/http/callers.py
+++ b/rosewheel/http/callers.py
@@ -15,6 +15,9 @@
 log = logging.getLogger("rosewheel.callers")
 
 SWEEP_S = 0.25
+UNREAD_S = (
+    0.1  # how often those that are not read just now are asked of the system whether they are still there
+)
 IDLE_S = 0.2  # a connection that was used this lately is not closed to make room,
 SILENT_S = 0.3  # nor one that is this new and has not asked yet, or has sent a part of a head this lately
 LINGER_S = 0.6  # how long after SIGTERM new connections still come, and some more
@@ -40,6 +43,8 @@
         self.gone, self.healthy, self.budget = gone, healthy, budget
         self.callers: dict[Caller, None] = {}  # in order of their arrival
         self.quiet: dict[Caller, None] = {}  # those on which nothing is asked, the longest so first
+        self._unread: dict[Caller, None] = {}  # those that are not read just now, or were a moment ago
+        self._watching: asyncio.TimerHandle | None = None
         self.halves: dict[Caller, None] = {}  # those with half a head, the longest silent first
         self.most = 1 << 20  # callers that may be connected at a time
         self.most_surplus = 16  # callers past the descriptors that are told so; the others are just closed
@@ -104,6 +109,8 @@
             self._listener.close()
         if self._sweeper is not None:
             self._sweeper.cancel()
+        if self._watching is not None:
+            self._watching.cancel()
         for caller in list(self.callers):
             caller.abort()
 
@@ -116,6 +123,18 @@
         for caller in list(self.callers):
             caller.close_if_stuck(now)
 
+    def unread(self, caller: Caller) -> None:
+        """It is not read from now on, so that the loop will not tell when it leaves."""
+        self._unread[caller] = None
+        if self._watching is None:
+            self._watching = self.loop.call_later(UNREAD_S, self._watch)
+
+    def _watch(self) -> None:
+        for caller in list(self._unread):
+            if not caller.paused or caller.forget_if_left():
+                self._unread.pop(caller, None)
+        self._watching = self.loop.call_later(UNREAD_S, self._watch) if self._unread else None
+
     def joined(self, caller: Caller) -> None:
         self.callers[caller] = None
         self.quiet[caller] = None
@@ -134,6 +153,7 @@
             del self.callers[caller]
             self.quiet.pop(caller, None)
             self.halves.pop(caller, None)
+            self._unread.pop(caller, None)
             self.surplus -= caller.surplus
 
     def close_idle(self) -> bool:
--- a/rosewheel/http/equipos.py
+++ b/rosewheel/http/equipos.py
@@ -136,6 +136,14 @@
                 # requests, which may then have run. On a new connection, which never comes up, they do not.
                 self._retire(conn.pool)
 
+    def withdraw(self, id: str, attempt: int) -> bool:
+        """Nobody waits for this attempt any more; whether it could still be stopped before its last byte."""
+        exchange = self.live.get((id, attempt))
+        if exchange is None or exchange.sent:
+            return False
+        self.abort(id, attempt)
+        return True
+
     def probe(self, host: str) -> None:
         pool = self.pools.get(host)
         if pool is None:
--- a/rosewheel/node/core.py
+++ b/rosewheel/node/core.py
@@ -232,6 +232,12 @@
             return None
         return entry.service, entry.attempts[entry.begun].server, entry.begun
 
+    def out(self, id: str) -> list[int]:
+        """The attempts of this request that have no outcome."""
+        entry = self.open.get(id)
+        items = entry.attempts if entry is not None else ()
+        return [number for number, item in enumerate(items) if item.result is None]
+
     def client_gone(self, now: float, id: str) -> list[Effect]:
         entry = self.open.get(id)
         if entry is None or entry.over:
--- a/rosewheel/relay/relay.py
+++ b/rosewheel/relay/relay.py
@@ -386,6 +386,10 @@
         if self.calls.get(call.id) is call:
             del self.calls[call.id]
             self.apply(self.node.client_gone(now_ms(), call.id))
+            for attempt in self.node.out(call.id):
+                # Guards servers, also where the settings allow no cancel: what is not written yet is none.
+                if self.upstream.withdraw(call.id, attempt):
+                    self.apply(self.node.ended(now_ms(), call.id, attempt, Result.CONNECT_FAILED))
 
     def _ended(
         self, id: str, attempt: int, result: Result, report: dict[str, float] | None, body: bytes
