A stop has closed its connections before the platform's patience is over, also where deadlines are short

After SIGTERM clients send on every connection that stays open, and SIGKILL comes the longest deadline (at most 3 s) and 0.7 s later; what it finds unanswered of what came after 0.7 s is lost. At fault: Server.drain, which kept connections for 2 s and half requests for 4.1 s whatever the settings' deadlines are. With deadlines of 0.3 s the end comes after 1 s, with all connections open. Now both go by the longest deadline of the settings: idle ones go at the latest 0.1 s before it is over, half requests 0.4 s after it. Also: an idle connection on which a request lies unread is no longer closed (Caller.close_if_idle); the close crossed it.

--- a/rosewheel/http/caller.py
+++ b/rosewheel/http/caller.py
@@ -158,9 +158,7 @@
         transport = self.transport
         if transport is None or transport.is_closing() or self.lifted is not None:
             return False
-        poller = select.poll()
-        poller.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-        if not poller.poll(0):
+        if not self._ended():
             return False
         self._forget()
         if self.choked:  # it does not read what it is owed, either
@@ -169,6 +167,18 @@
             transport.close()
         return True
 
+    def _asked_of_system(self, events: int) -> int:
+        """Which of these hold for this connection just now."""
+        assert self.transport is not None
+        poller = select.poll()
+        poller.register(self.transport.get_extra_info("socket").fileno(), events)
+        found = poller.poll(0)
+        return found[0][1] if found else 0
+
+    def _ended(self) -> bool:
+        """Whether its end has come, by closing, by a reset or by the end of its sending."""
+        return self._asked_of_system(select.POLLRDHUP) != 0
+
     def pause_writing(self) -> None:
         self.choked = True
         self._throttle()
@@ -203,6 +213,8 @@
             return False
         if self.server.loop.time() - self.since < for_s:
             return False
+        if self._asked_of_system(select.POLLIN) & select.POLLIN and not self._ended():
+            return False  # a request has come, and the loop has not read it yet
         self.transport.close()
         return True
 
--- a/rosewheel/http/callers.py
+++ b/rosewheel/http/callers.py
@@ -21,9 +21,13 @@
 IDLE_S = 0.2  # a connection that was used this lately is not closed to make room,
 SILENT_S = 0.3  # nor one that is this new and has not asked yet, or has sent a part of a head this lately
 LINGER_S = 0.6  # how long after SIGTERM new connections still come, and some more
-STAY_S = 2.0  # and how long those that are there may go on asking: other nodes may be starting just now
-FRESH_S = 0.2  # a connection that came this lately may still bring its request
-DRAIN_S = 3.5  # after this a stop waits only for answers that are owed
+STAY_S = 2.0  # and how long those that are there may go on asking: other nodes may be starting just now,
+# but no longer than until so long before the longest patience of a request is over: the end comes not long after that,
+# and finds unanswered what it finds on a connection that is still open.
+STAY_SPARE_S = 0.1
+FRESH_S = 0.2  # a connection that came this lately may still bring its request,
+FRESH_PART = 0.2  # or, where patience is short, within this part of it
+DRAIN_S = 0.4  # so long after the longest patience a stop waits only for answers that are owed
 
 
 class Server:
@@ -75,8 +79,11 @@
         assert self._listener is not None
         return int(self._listener.sockets[0].getsockname()[1])
 
-    async def drain(self, handover: bool = False, give: Callable[[], bool] | None = None) -> None:
-        """Answer what still comes, then close; returns when no caller is left. At a handover another process
+    async def drain(
+        self, longest_s: float = 3.0, handover: bool = False, give: Callable[[], bool] | None = None
+    ) -> None:
+        """Answer what still comes, then close; returns when no caller is left. `longest_s` is the longest patience of a
+        request, as far as a stop waits for it. At a handover another process
         accepts from the same socket: this one lets go of it at once, and sends its callers over there, or
         `give`s them: which does what can be done by now, and says whether that goes on."""
         self.draining, self.drained_s = True, self.loop.time()
@@ -88,16 +95,16 @@
             await asyncio.sleep(LINGER_S)
         if self._listener is not None:
             self._listener.close()
-        began = self.loop.time()
         if not giving:
-            await asyncio.sleep(STAY_S - LINGER_S)
+            await asyncio.sleep(max(0.0, min(STAY_S, longest_s - STAY_SPARE_S) - LINGER_S))
+        fresh_s = min(FRESH_S, longest_s * FRESH_PART)
         while self.callers or giving:
             giving = giving and give is not None and give()
             self.closing = not giving
-            late = self.loop.time() - began > DRAIN_S
+            late = self.loop.time() - self.drained_s > longest_s + DRAIN_S
             for caller in list(self.callers):
                 if not giving or caller.kept:
-                    caller.close_if_idle(FRESH_S)
+                    caller.close_if_idle(fresh_s)
                 if late and caller.current is None:
                     caller.abort()
             await asyncio.sleep(0.005 if giving else 0.02)
--- a/rosewheel/relay/relay.py
+++ b/rosewheel/relay/relay.py
@@ -204,7 +204,9 @@
     async def drain(self) -> None:
         self.snapshots.close()  # a process that follows writes its own from now on
         given = self.handover.leave()
-        await self.server.drain(handover=self.taking_over or given, give=self._give if given else None)
+        classes = self.config.settings.classes
+        longest_ms = min(LONGEST_MS, max(kind.give_up_ms for kind in classes))
+        await self.server.drain(longest_ms / 1000.0, self.taking_over or given, self._give if given else None)
         self.stopped = True
         self.handover.close()
         self.admin.close()
