A keyed repeat is not picked so late that its connection comes up behind its window

Balancer._pick took a repeat up to the last moment of the time for which its group drops repeats, while its first byte goes out when its connection is up, up to the settings' connect time later. The connect time is now a setting of the module (bounds.connectTimeoutMs) and kept back.

Test: test_guards.py, seen to fail without the mend.

--- a/rosewheel/config/operator.py
+++ b/rosewheel/config/operator.py
@@ -175,6 +175,7 @@
             cold_from=routing.cold_from,
             cold_ms=routing.cold_ms,
             tip_after_ms=routing.tip_after_ms,
+            connect_ms=self.limits.connect_timeout_ms,
         )
 
 
--- a/rosewheel/decide/interface.py
+++ b/rosewheel/decide/interface.py
@@ -100,6 +100,9 @@
     cold_from: float = 1.0
     cold_ms: float = 0.0
     tip_after_ms: float = 1000.0
+    connect_ms: float = (
+        0.0  # how long a connection may take to come up before an attempt's first byte goes out
+    )
 
     def __post_init__(self) -> None:
         if not self.classes:
@@ -112,7 +115,7 @@
             _within(f"classes[{at}].late_worth", item.late_worth, 0, 1)
         for at, tenant in enumerate(self.tenants):
             _within(f"tenants[{at}].quota_per_s", tenant.quota_per_s, 0)
-        for key in ("tier", "max_retry_after_ms", "cross_zone_price", "cold_ms"):
+        for key in ("tier", "max_retry_after_ms", "cross_zone_price", "cold_ms", "connect_ms"):
             _within(key, getattr(self, key), 0)
         for key in ("siblings", "max_attempts"):
             _within(key, getattr(self, key), 1)
--- a/rosewheel/decide/settings.py
+++ b/rosewheel/decide/settings.py
@@ -41,6 +41,7 @@
         "cold_from": rules.get("coldFrom"),
         "cold_ms": rules.get("coldMs"),
         "tip_after_ms": rules.get("tipAfterMs"),
+        "connect_ms": bounds.get("connectTimeoutMs"),
     }
     return Settings(
         classes=tuple(_service_class(row) for row in config.get("categories") or ()),
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -337,3 +337,15 @@
     """Guard: a refusal below the front wasted what had been done above it."""
     below, front = (Bed(siblings=100, tier=tier).balancer for tier in (1, 0))
     assert below.threshold(1.0, 40) >= 40.0 > front.threshold(1.0, 40)
+
+
+@pytest.mark.parametrize(("connect_ms", "again"), [(0.0, True), (150.0, False)])
+def test_a_keyed_repeat_goes_out_within_its_window_even_if_its_connection_comes_up_last(
+    connect_ms: float, again: bool
+):
+    """Found by reading: a repeat that was picked within the window went out up to a connection's time behind it."""
+    bed = Bed(connect_ms=connect_ms)
+    name, acts = bed.ask("points", left=5000.0)
+    bed.now += 800.0  # of 900 for which the group remembers
+    acts = bed.end(name, sent(acts)[0].server, api.Result.ERROR, 800.0)
+    assert bool(sent(acts)) is again
