--- a/rosewheel/decide/policy.py
+++ b/rosewheel/decide/policy.py
@@ -446,7 +446,7 @@
 
     def _pick(self, now: float, job: _Job) -> Peer | None:
         ran, effect = job.may_have_run(), job.kind.effect
-        # Guard: a repeat counts where it begins to go out, and its connection may have to come up before that.
+        # Guard: a repeat counts where it begins to go out, and its connection may come up only before that.
         expired = bool(ran) and now - ran[0].sent_ms + self.cfg.connect_ms >= job.kind.memory_ms
         if ran and (effect is api.Effect.UNSAFE or (effect is api.Effect.KEYED and expired)):
             return None
