A spoilt setting is named by its key, and no Unix socket is opened where no listener is inherited

Need: bad input is one plain line with its key. A probe put thirteen wrong values, and none, at each key of a whole configuration: no traceback, but some 150 of the lines named no key ("'str' object has no attribute 'get'"). Settings are now read by type, and the module's own words are told in those of the wire. What is no JSON is told by its place. Flags that are neither true nor false, and counts that are not whole, are refused now; they were bent before.

Need: what the platform refuses stays off in `run`. `rosewheel node` hands over as before.

--- a/rosewheel/config/platform.py
+++ b/rosewheel/config/platform.py
@@ -11,7 +11,7 @@
 import orjson
 
 from rosewheel.decide.interface import Settings
-from rosewheel.decide.settings import settings_from
+from rosewheel.decide.settings import flag, settings_from, table
 from rosewheel.node.bounds import Bounds
 
 Address = tuple[str, int]
@@ -40,6 +40,9 @@
     ops: Address | None = None  # where operators call; without it there is no such door
     inherited: int | None = None  # the descriptor of a listening socket that the platform holds
     state: str | None = None  # the folder for what outlives a process
+    # Whether another process of this node may take over, by a Unix socket in that folder. On the platform only where it
+    # holds the callers' socket: elsewhere no second process can be there, and nobody comes to such a socket.
+    handover: bool = True
 
 
 def parse_address(text: object) -> Address:
@@ -88,18 +91,17 @@
 
 def _typed(row: dict[str, Any], inherited: int | None, state: str | None) -> Config:
     settings: dict[str, Any] = row["settings"]
-    allowed: dict[str, Any] = settings.get("bounds") or {}
-    rules: dict[str, Any] = settings.get("invariants") or {}
-    limits: dict[str, Any] = row.get("limits") or {}
+    asked = settings_from(settings)
+    allowed, rules, limits = table(settings, "bounds"), table(settings, "invariants"), table(row, "limits")
     given = {
-        "conn_idle_ms": (float, allowed.get("connIdleMs")),
-        "connect_timeout_ms": (float, allowed.get("connectTimeoutMs")),
-        "drain_grace_ms": (float, rules.get("drainGraceMs")),
-        "max_open": (int, allowed.get("maxOpen")),
-        "second_copies": (bool, allowed.get("secondCopies")),
-        "may_probe": (bool, allowed.get("mayProbe")),
-        "memory_mb": (float, limits.get("memory_mb")),
-        "sockets": (int, descriptors(limits.get("sockets") or 1024)),
+        "conn_idle_ms": _number(allowed, "connIdleMs"),
+        "connect_timeout_ms": _number(allowed, "connectTimeoutMs"),
+        "drain_grace_ms": _number(rules, "drainGraceMs"),
+        "max_open": _whole(allowed, "maxOpen"),
+        "second_copies": flag(allowed, "secondCopies"),
+        "may_probe": flag(allowed, "mayProbe"),
+        "memory_mb": _number(limits, "memory_mb"),
+        "sockets": descriptors(_whole(limits, "sockets") or 1024),
     }
     known = row.get("known") or {"seq": 0, "hosts": []}
     if not isinstance(known, dict):
@@ -109,15 +111,32 @@
         listen=_address(row, "listen"),
         discovery=_address(row, "discovery"),
         seed=_seed(row.get("seed")),
-        settings=settings_from(settings),
-        bounds=Bounds(**{key: kind(value) for key, (kind, value) in given.items() if value is not None}),
+        settings=asked,
+        bounds=Bounds(**{key: value for key, value in given.items() if value is not None}),  # type: ignore[arg-type]
         known=known,
         ops=_address(row, "ops") if row.get("ops") else None,
         inherited=inherited,
         state=state,
+        handover=inherited is not None,
     )
 
 
+def _number(row: dict[str, Any], key: str) -> float | None:
+    value = row.get(key)
+    if value is None:
+        return None
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < 1e15:
+        raise ValueError(f"{key}: {value!r} is not a number from 0 on")
+    return float(value)
+
+
+def _whole(row: dict[str, Any], key: str) -> int | None:
+    value = _number(row, key)
+    if value is not None and value % 1:
+        raise ValueError(f"{key}: {row[key]!r} is not a whole number")
+    return None if value is None else int(value)
+
+
 def _address(row: dict[str, Any], key: str) -> Address:
     try:
         return parse_address(row[key])
@@ -129,4 +148,7 @@
     """Hexadecimal text or a whole number; without one, the system's random source."""
     if isinstance(given, int):
         return given
-    return int(given, 16) if isinstance(given, str) and given else int.from_bytes(os.urandom(8), "big")
+    try:
+        return int(given, 16) if isinstance(given, str) and given else int.from_bytes(os.urandom(8), "big")
+    except ValueError as error:
+        raise ValueError(f"seed: {given!r} is not hexadecimal") from error
--- a/rosewheel/decide/settings.py
+++ b/rosewheel/decide/settings.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
 from rosewheel.decide.interface import Effect, Scope, ServiceClass, Settings, Tenant
 
 Row = dict[str, Any]
 
+# What the module's own checks call otherwise than the wire.
+KEYS = {"classes": "categories", "tenants": "accounts", "worth": "credit", "memory_ms": "memorySpanMs"}
+
 EFFECTS = {"free": Effect.SAFE, "guarded": Effect.KEYED, "single_shot": Effect.UNSAFE}
 REPORTS = {
     "concurrent": "inflight",
@@ -19,22 +23,65 @@
 }
 
 
+def table(row: Row, key: str) -> Row:
+    """The object at this key; an empty one where there is none."""
+    return _object(key, row.get(key) or {})
+
+
+def flag(row: Row, key: str) -> bool | None:
+    value = row.get(key)
+    if value is not None and not isinstance(value, bool):
+        raise ValueError(f"{key}: {value!r} is neither true nor false")
+    return value
+
+
+def text(row: Row, key: str, default: str | None = None) -> str | None:
+    value = row.get(key, default)
+    if value is not None and not isinstance(value, str):
+        raise ValueError(f"{key}: {value!r} is no text")
+    return value
+
+
+def named(row: Row, key: str) -> str:
+    value = text(row, key)
+    if value is None:
+        raise KeyError(key)
+    return value
+
+
+def _object(key: str, value: Any) -> Row:
+    if not isinstance(value, dict):
+        raise ValueError(f"{key}: {value!r} is not an object")
+    return value
+
+
+def _list(row: Row, key: str) -> list[Any]:
+    value = row.get(key) or []
+    if not isinstance(value, list):
+        raise ValueError(f"{key}: {value!r} is not a list")
+    return value
+
+
 def settings_from(config: Row) -> Settings:
-    """The settings of a node from its first message; keys that are not known are ignored."""
-    bounds: Row = config.get("bounds") or {}
-    rules: Row = config.get("invariants") or {}
-    prices: Row = config.get("prices") or {}
-    feedback: Row = config.get("feedback") or {}
+    """The settings of a node from its first message; keys that are not known are ignored. A ValueError or KeyError
+    names the key."""
+    _object("settings", config)
+    bounds, rules = table(config, "bounds"), table(config, "invariants")
+    prices, feedback = table(config, "prices"), table(config, "feedback")
+    tenants = [_object("accounts", row) for row in _list(config, "accounts")]
+    fields = _list(feedback, "fields")
+    if not all(isinstance(name, str) for name in fields):
+        raise ValueError(f"fields: {fields!r} is not a list of names")
     given: Row = {
-        "zone": config.get("locality"),
+        "zone": text(config, "locality"),
         "tier": config.get("tier"),
         "siblings": config.get("siblings"),
         "ask_discovery": config.get("registryMode") == "ask",
         "worth_by_work": config.get("valueBy") == "work",
         "over_share_worth": config.get("overShareWorth"),
-        "report_fields": tuple(REPORTS.get(name, name) for name in feedback.get("fields") or ()),
-        "may_cancel": bounds.get("cancel"),
-        "retry_after": bounds.get("retryAfter"),
+        "report_fields": tuple(REPORTS.get(name, name) for name in fields),
+        "may_cancel": flag(bounds, "cancel"),
+        "retry_after": flag(bounds, "retryAfter"),
         "max_retry_after_ms": bounds.get("maxRetryAfterMs"),
         "max_attempts": bounds.get("maxAttempts"),
         "cross_zone_price": prices.get("crossZone"),
@@ -43,29 +90,32 @@
         "tip_after_ms": rules.get("tipAfterMs"),
         "connect_ms": bounds.get("connectTimeoutMs"),
     }
-    return Settings(
-        classes=tuple(_service_class(row) for row in config.get("categories") or ()),
-        tenants=tuple(
-            Tenant(row["name"], row["quotaPerS"])
-            for row in config.get("accounts") or ()
-            if row.get("quotaPerS") is not None
-        ),
-        **{key: value for key, value in given.items() if value is not None},
+    classes = tuple(_service_class(_object("categories", row)) for row in _list(config, "categories"))
+    shares = tuple(
+        Tenant(named(row, "name"), row["quotaPerS"]) for row in tenants if row.get("quotaPerS") is not None
     )
+    try:
+        return Settings(classes, shares, **{key: value for key, value in given.items() if value is not None})
+    except ValueError as error:
+        key, colon, rest = str(error).partition(":")
+        told = re.sub(r"[a-z_]+", lambda word: KEYS.get(word[0], word[0]), key)
+        raise ValueError(told + colon + rest) from error
 
 
 def _service_class(row: Row) -> ServiceClass:
-    effect = row.get("effect")
-    if effect not in EFFECTS:
+    effect, scope = row.get("effect"), row.get("keyScope") or "all"
+    if not isinstance(effect, str) or effect not in EFFECTS:
         raise ValueError(f"categories.effect: {effect!r} is not one of {', '.join(EFFECTS)}")
+    if scope not in [item.value for item in Scope]:
+        raise ValueError(f"categories.keyScope: {scope!r} is not one of all, zone, cell")
     return ServiceClass(
-        name=row["name"],
+        name=named(row, "name"),
         aim_ms=row["aimMs"],
         give_up_ms=row["giveUpMs"],
         worth=row.get("credit", 1.0),
         late_worth=row.get("lateWorth") or 0.0,
         effect=EFFECTS[effect],
-        scope=Scope(row.get("keyScope") or "all"),
+        scope=Scope(scope),
         memory_ms=row.get("memorySpanMs") or 0.0,
-        stream=bool(row.get("stream")),
+        stream=flag(row, "stream") or False,
     )
--- a/rosewheel/relay/relay.py
+++ b/rosewheel/relay/relay.py
@@ -109,7 +109,7 @@
         self.snapshots = Snapshots(config.state, config.name, self._learned)
         self.random = random.Random(config.seed)
         self.moves = Moves(self)
-        self.handover = Handover(config.state, config.name, self.moves)
+        self.handover = Handover(config.state if config.handover else None, config.name, self.moves)
         self._told = asyncio.Event()  # discovery has said something
         since = config.known.get("seq")
         known = [server.address for server, _ in entries_from(config.known.get("hosts"))]
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import copy
+import json
 import os
 import signal
 import socket
@@ -13,10 +15,15 @@
 
 import orjson
 import pytest
+from sockets import entry
 from test_adapter import CONFIG
 
+from rosewheel.config import platform
+from rosewheel.decide.interface import ListForm, Request
 from rosewheel.decide.policy import Balancer
 from rosewheel.decide.settings import settings_from
+from rosewheel.discovery.catalog import entries_from
+from rosewheel.node.core import Node
 
 ROOT = Path(__file__).parent.parent
 
@@ -191,3 +198,76 @@
     _, errors = process.communicate(timeout=60)
     assert process.returncode == 0
     assert "Traceback" not in errors
+
+
+def test_no_unix_socket_where_the_platform_holds_no_listener(tmp_path: Path):
+    """On the large days nobody comes to one; it is there for upgrades, where two processes share a listener."""
+    port = free_port()
+    process = start(tmp_path, good(listen=f"127.0.0.1:{port}"), TMPDIR=str(tmp_path))
+    with connect(process, port):
+        inodes = {
+            os.readlink(item) for item in Path(f"/proc/{process.pid}/fd").iterdir() if item.is_symlink()
+        }
+        assert not [row for row in Path("/proc/net/unix").read_text().splitlines() if str(tmp_path) in row]
+        assert inodes  # it is this process that was looked at
+        process.send_signal(signal.SIGTERM)
+    process.communicate(timeout=60)
+    assert process.returncode == 0
+
+
+SPOILS: list[Any] = [None, "x", "", -1, 0, 1e400, 1e300, True, [], {}, [1], {"a": 1}, float(2**70)]
+
+
+def paths(value: Any, before: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
+    inner: list[tuple[Any, ...]] = []
+    if isinstance(value, dict):
+        inner = [path for key, item in value.items() for path in paths(item, (*before, key))]
+    elif isinstance(value, list):
+        inner = [path for at, item in enumerate(value) for path in paths(item, (*before, at))]
+    return [before, *inner] if before else inner
+
+
+WHOLE = good(
+    limits={"cores": 1.0, "memory_mb": 64, "sockets": 256},
+    ops="127.0.0.1:7998",
+    known={"seq": 1, "whole": True, "hosts": [entry("s", 9)]},
+)
+
+
+def names(said: str, path: tuple[Any, ...]) -> bool:
+    """Whether what is said names the key, in its own words or in the module's; of what is no JSON, the place."""
+    key = [part for part in path if isinstance(part, str)][-1]
+    plain = said.lower().replace("_", "")
+    inner = path == ("settings",) and "categories" in plain
+    return key.lower().replace("_", "") in plain or inner or "when parsed" in said
+
+
+@pytest.mark.parametrize("path", paths(WHOLE), ids=lambda path: ".".join(map(str, path)))
+def test_a_spoilt_value_is_one_plain_line_or_does_no_harm(tmp_path: Path, path: tuple[Any, ...]):
+    """Guards the start and the reload: whatever stands at a key, or is missing there, either the configuration is
+    refused in one line, or a node can be made of it and takes a request."""
+    file = tmp_path / "config.json"
+    for spoil in (*SPOILS, "gone"):
+        row = copy.deepcopy(WHOLE)
+        place = row
+        for key in path[:-1]:
+            place = place[key]
+        if spoil == "gone":
+            del place[path[-1]]
+        else:
+            place[path[-1]] = spoil
+        file.write_bytes(json.dumps(row).replace("Infinity", "1e400").encode())
+        try:
+            config = platform.load({"LB_CONFIG": str(file)})
+        except platform.ConfigError as error:
+            said = str(error).removeprefix(f"LB_CONFIG: {file}: ")
+            if "\n" in said or not names(said, path):
+                pytest.fail(f"{path}: {said}")
+            continue
+        node = Node(config.settings, config.bounds, config.seed, 0.0)
+        entries = entries_from(config.known.get("hosts"))
+        node.members(0.0, ListForm.CACHED, tuple(server for server, _ in entries))
+        node.request(1.0, Request("r", config.settings.classes[0].name, 900.0))
+        for at in range(1, 40):
+            node.tick(at * 100.0)
+        assert node.active == 0
