The node under events in any order, by hypothesis

Need: crossings that no socket can force. tests/test_orders.py draws asks, halves, outcomes twice, leavers, lists, cordons and time, and holds each run to one answer, no second run of unsafe work, keyed repeats in group and window, nothing sent after an end, and nothing left open.

--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,163 @@
+"""The node under events in any order: answers, resets, time-outs, leavers, lists, timers, each at any moment."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+from helpers import KEYED, SAFE, UNSAFE, settings
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rosewheel.decide import interface as api
+from rosewheel.node.bounds import Bounds
+from rosewheel.node.core import Abort, Answer, Dispatch, Effect, Node
+
+KINDS = {kind.name: kind for kind in (SAFE, UNSAFE, dataclasses.replace(KEYED, scope=api.Scope.CELL))}
+RESULTS = [result for result in api.Result if result is not api.Result.MOOT]
+STATES = list(api.ServerState)
+
+STEP = st.one_of(
+    st.tuples(st.just("ask"), st.sampled_from(sorted(KINDS)), st.booleans()),
+    st.tuples(st.just("arrive"), st.integers(0, 5)),
+    st.tuples(st.just("end"), st.integers(0, 9), st.sampled_from(RESULTS)),
+    st.tuples(st.just("again"), st.integers(0, 9), st.sampled_from(RESULTS)),  # of one that has ended already
+    st.tuples(st.just("leave"), st.integers(0, 5)),
+    st.tuples(st.just("list"), st.integers(0, 3), st.sampled_from(STATES), st.booleans()),
+    st.tuples(st.just("cordon"), st.integers(0, 3), st.booleans()),
+    st.tuples(st.just("pass"), st.sampled_from([0.0, 1.0, 60.0, 900.0, 1000.0, 2600.0])),
+)
+
+
+class World:
+    """Carries out what the node decides, and holds it to the rules that can be seen from here."""
+
+    def __init__(self, cancel: bool, copies: bool) -> None:
+        self.now = 0.0
+        self.copies = copies
+        cfg = settings(classes=tuple(KINDS.values()), may_cancel=cancel, cold_ms=0.0)
+        self.node = Node(cfg, Bounds(second_copies=copies), seed=3, now=0.0)
+        self.servers = {f"s{at}": api.Server(f"s{at}", zone="a", cell=at // 2) for at in range(4)}
+        self.kinds: dict[str, str] = {}
+        self.answers: dict[str, list[int]] = {}
+        self.left: set[str] = set()
+        self.out: dict[tuple[str, int], str] = {}  # attempts whose sockets have said nothing yet
+        self.ended: list[tuple[str, int]] = []
+        self.sent: dict[str, list[tuple[int, str, float]]] = {}
+        self.results: dict[tuple[str, int], api.Result] = {}
+        self.halves: list[str] = []
+        self.do(self.node.members(0.0, api.ListForm.FULL, tuple(self.servers.values())))
+
+    def do(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case Dispatch():
+                    self.dispatched(effect)
+                case Abort():
+                    assert self.out.pop((effect.id, effect.attempt), None), "nothing to give up"
+                    self.results[effect.id, effect.attempt] = api.Result.TIMEOUT  # it may have run
+                    self.ended.append((effect.id, effect.attempt))
+                case Answer():
+                    self.answers[effect.id].append(effect.status)
+                    assert effect.id not in self.left, "an answer for one that has left"
+
+    def dispatched(self, effect: Dispatch) -> None:
+        id, kind = effect.id, KINDS[self.kinds[effect.id]]
+        assert not self.answers[id], "sent on after its answer"
+        assert id not in self.left, "sent on after its caller has left"
+        server = self.servers[effect.server]
+        assert server.state is api.ServerState.UP, "sent to one that leaves"
+        assert server.address not in self.node.cordoned, "sent to one that is out by hand"
+        earlier = self.sent.setdefault(id, [])
+        still_out = any((id, attempt) in self.out for attempt, _, _ in earlier)
+        assert self.copies or not still_out, "a second copy"
+        ran = [row for row in earlier if (id, row[0]) in self.out or not self.results[id, row[0]].never_ran]
+        if ran and kind.effect is api.Effect.UNSAFE:
+            raise AssertionError("unsafe work again, though it may have run")
+        if ran and kind.effect is api.Effect.KEYED:
+            assert {self.servers[row[1]].cell for row in ran} == {server.cell}, "outside its group"
+            assert self.now - ran[0][2] < kind.memory_ms, "behind its window"
+        earlier.append((effect.attempt, effect.server, self.now))
+        assert len(earlier) <= self.node.settings.max_attempts
+        self.out[id, effect.attempt] = effect.server
+
+    def step(self, step: tuple[Any, ...]) -> None:
+        node, now = self.node, self.now
+        match step:
+            case ("ask", service, whole):
+                id = f"r{len(self.kinds)}"
+                self.kinds[id], self.answers[id] = service, []
+                if not whole:
+                    self.halves.append(id)
+                self.do(node.request(now, api.Request(id, service, now + 2500.0, whole=whole)))
+            case ("arrive", at) if self.halves:
+                id = self.halves.pop(at % len(self.halves))
+                self.do(node.arrived(now, id, now + 2500.0))
+            case ("end", at, result) if self.out:
+                key = sorted(self.out)[at % len(self.out)]
+                half = key[0] in self.halves
+                if half and not result.never_ran:
+                    result = api.Result.CONNECT_FAILED  # no server begins half a request
+                del self.out[key]
+                self.results[key] = result
+                self.ended.append(key)
+                if half:
+                    node.spent(key[0])
+                self.do(node.ended(now, *key, result))
+            case ("again", at, result) if self.ended:
+                self.do(node.ended(now, *self.ended[at % len(self.ended)], result))
+            case ("leave", at) if self.kinds:
+                id = sorted(self.kinds)[at % len(self.kinds)]
+                if not self.answers[id] and id not in self.left:
+                    self.left.add(id)
+                    self.leave(id)
+            case ("list", at, state, restarted):
+                host = f"s{at}"
+                born = now if restarted else self.servers[host].launched_ms
+                self.servers[host] = dataclasses.replace(self.servers[host], state=state, launched_ms=born)
+                self.do(node.members(now, api.ListForm.DELTA, (self.servers[host],)))
+            case ("cordon", at, out):
+                self.do(node.cordon(now, f"s{at}", out))
+            case ("pass", by):
+                self.now += by
+                self.do(node.tick(self.now))
+
+    def leave(self, id: str) -> None:
+        """As the relay has it: what is not written whole is withdrawn."""
+        self.do(self.node.client_gone(self.now, id))
+        for attempt in self.node.out(id):
+            if id in self.halves:
+                self.out.pop((id, attempt), None)
+                self.results[id, attempt] = api.Result.CONNECT_FAILED
+                self.do(self.node.ended(self.now, id, attempt, api.Result.CONNECT_FAILED))
+
+    def finish(self) -> None:
+        """Whatever is still half read ends with its caller, and all deadlines pass."""
+        for id in self.halves:
+            if not self.answers[id] and id not in self.left:
+                self.left.add(id)
+                self.leave(id)
+        for _ in range(40):
+            self.now += 100.0
+            self.do(self.node.tick(self.now))
+        for key in list(self.out):  # those that the settings do not let the module take back
+            if key in self.out:
+                del self.out[key]
+                self.results[key] = api.Result.RESET
+                self.do(self.node.ended(self.now, *key, api.Result.RESET))
+
+
+@given(st.lists(STEP, max_size=60), st.booleans(), st.booleans())
+def test_any_order_leaves_one_answer_no_second_run_and_nothing_open(
+    steps: list[tuple[Any, ...]], cancel: bool, copies: bool
+):
+    world = World(cancel, copies)
+    for step in steps:
+        world.step(step)
+    world.finish()
+    for id, answers in world.answers.items():
+        assert len(answers) == (0 if id in world.left else 1), id
+    assert world.node.active == 0
+    assert not world.node.open
+    assert not world.node.balancer.jobs
+    assert all(peer.load == 0.0 and not peer.out for peer in world.node.balancer.peers.values())
