--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
+from random import Random
 from typing import Any
 
+import pytest
 from helpers import KEYED, SAFE, UNSAFE, settings
 from hypothesis import given
 from hypothesis import strategies as st
@@ -32,10 +34,10 @@
 class World:
     """Carries out what the node decides, and holds it to the rules that can be seen from here."""
 
-    def __init__(self, cancel: bool, copies: bool) -> None:
+    def __init__(self, cancel: bool, copies: bool, attempts: int = 3) -> None:
         self.now = 0.0
         self.copies = copies
-        cfg = settings(classes=tuple(KINDS.values()), may_cancel=cancel, cold_ms=0.0)
+        cfg = settings(classes=tuple(KINDS.values()), may_cancel=cancel, cold_ms=0.0, max_attempts=attempts)
         self.node = Node(cfg, Bounds(second_copies=copies), seed=3, now=0.0)
         self.servers = {f"s{at}": api.Server(f"s{at}", zone="a", cell=at // 2) for at in range(4)}
         self.kinds: dict[str, str] = {}
@@ -105,7 +107,8 @@
                     node.spent(key[0])
                 self.do(node.ended(now, *key, result))
             case ("again", at, result) if self.ended:
-                self.do(node.ended(now, *self.ended[at % len(self.ended)], result))
+                effects = node.ended(now, *self.ended[at % len(self.ended)], result)
+                assert not effects, "an attempt that was settled has said something"
             case ("leave", at) if self.kinds:
                 id = sorted(self.kinds)[at % len(self.kinds)]
                 if not self.answers[id] and id not in self.left:
@@ -161,3 +164,34 @@
     assert not world.node.open
     assert not world.node.balancer.jobs
     assert all(peer.load == 0.0 and not peer.out for peer in world.node.balancer.peers.values())
+
+
+@given(st.lists(STEP, min_size=10, max_size=60), st.integers(0, 2**32), st.booleans())
+def test_a_module_that_decides_anything_breaks_none_of_what_the_node_keeps(
+    steps: list[tuple[Any, ...]], seed: int, copies: bool
+):
+    """Guards callers against a fault in the decisions: one answer, nothing sent on after it, no second copy where
+    there may be none, no more attempts than are allowed, and nothing to one that leaves."""
+    world, rng = World(cancel=True, copies=copies, attempts=2), Random(seed)
+    kinds = {name: dataclasses.replace(kind, effect=api.Effect.SAFE) for name, kind in KINDS.items()}
+
+    def whim(_now: float, event: api.Event) -> list[api.Action]:
+        actions: list[api.Action] = []
+        for _ in range(rng.randrange(4) if not isinstance(event, api.Outcome) else rng.randrange(2)):
+            id = f"r{rng.randrange(len(world.kinds) + 1)}"
+            send = api.Send(id, f"s{rng.randrange(4)}", 0.0)
+            actions.append(
+                rng.choice([send, send, send, api.Refuse(id), api.Fail(id), api.Cancel(id, rng.randrange(2))])
+            )
+        return actions
+
+    world.node.balancer.handle = whim  # type: ignore[method-assign]
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setitem(globals(), "KINDS", kinds)  # which work may be repeated is the module's to know
+        for step in steps:
+            world.step(step)
+        world.finish()
+    for id, answers in world.answers.items():
+        assert len(answers) == (0 if id in world.left else 1), id
+    assert world.node.active == 0
+    assert not world.node.open
