No attempt begins for a caller that has left: retries, copies, late connections

Cause: the system was asked whether a caller is still there before its first attempt only. A further attempt (retry, repeat of a keyed request, second copy) and one whose connection was coming up went out where its end had not been read: while reading is paused (asked every 0.1 s only), or with a loop that is late and finds the attempt's failure first. And while reading was paused the end could stand behind what the system of the caller could not send: not even the node's system had been told of it, for as long as the connection to the equipo took to come up.

Change: each Dispatch asks the system; an attempt whose connection had to come up asks again right before its first byte. Until a body has begun to go out, and for requests ahead of their answers, a connection is read up to its share (a quarter) of what all bodies may hold, and not 64 KB and 16 KB; past the budget as before.

Those for a connection that comes up late use a listener whose queue is full. Where tests looked for the pause at 16 KB, and for 2 MB of a long body held, they now give the connection a share of that size: the bound is a part of the budget now, and what they assert of it is unchanged.

--- a/rosewheel/http/body.py
+++ b/rosewheel/http/body.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 HOLD_BYTES = 1 << 20  # a longer body passes through
+SHARES = 4  # no connection's bodies hold more than this part of what all may hold
 
 
 class Budget:
@@ -19,6 +20,11 @@
     def spent(self) -> bool:
         return self.used > self.most
 
+    @property
+    def share(self) -> int:
+        """What one connection's may hold of it."""
+        return self.most // SHARES
+
 
 class Body:
     """Filled by the caller's connection, read by that of the attempt which is out.
@@ -34,6 +40,7 @@
         self.held = 0
         self.complete = False
         self.streamed = False  # it passes through
+        self.read = False  # some of it is on its way to a server
         self.unwanted = False  # nobody reads it any more
         self.reader: Callable[[], None] | None = None
 
@@ -61,6 +68,7 @@
     def piece(self, number: int) -> bytes | None:
         """The piece of this number, or None where it has not come. Of a body that passes through, those
         before it are dropped: they have been read, and are not read again."""
+        self.read = True
         if self.streamed:
             while self.first < number:
                 self._drop()
@@ -74,6 +82,12 @@
         self.budget.used -= size
         self.eased()
 
+    def again(self) -> None:
+        """Who read it is gone; where all of it is still here, another one may come and read it."""
+        if self.first == 0 and self.read and not self.unwanted:
+            self.read = False
+            self.eased()
+
     def release(self) -> None:
         """Nobody needs it any more; what still comes of it is not kept."""
         self.unwanted, self.reader = True, None
--- a/rosewheel/http/caller.py
+++ b/rosewheel/http/caller.py
@@ -30,7 +30,6 @@
 EXTRA_TIMES = 16  # and this many times its size, in tiny chunks
 WINDOW_BYTES = 64 * 1024  # of a body that passes through, and of an answer, what waits for who is slow
 WAITING = 8  # requests that one connection may send ahead of the answers
-WAITING_BYTES = 16 * 1024  # past this much of them the connection is not read until they are asked
 PARTIAL_S = 2.6  # how long a head may take to arrive, a body may pause, and a new connection may say nothing
 TAKE_S = 30.0  # how long a caller may take nothing at all of its answer
 KEPT_S = 5.0  # how long a connection that asks nothing more is kept
@@ -167,6 +166,9 @@
             transport.close()
         return True
 
+    def still_there(self) -> bool:
+        return not self.forget_if_left()
+
     def _asked_of_system(self, events: int) -> int:
         """Which of these hold for this connection just now."""
         assert self.transport is not None
@@ -191,13 +193,16 @@
 
     def _throttle(self) -> None:
         """Guards memory against a caller that sends ahead of its answers, or sends and does not read, or
-        sends a long body faster than a server takes it."""
-        pause = self.choked or len(self.waiting) >= WAITING or self.ahead > WAITING_BYTES
+        sends a long body faster than a server takes it. Up to its share all is read, so that its end, which stands
+        behind that, is heard while an attempt may still begin."""
+        share = 0 if self.server.budget.spent else self.server.budget.share
+        pause = self.choked or len(self.waiting) >= WAITING or self.ahead > share
         if self.incoming is not None and self.incoming.body.streamed:
-            pause = self.choked or self.incoming.body.held > WINDOW_BYTES
+            body = self.incoming.body
+            pause = self.choked or body.held > (WINDOW_BYTES if body.read else max(WINDOW_BYTES, share))
             if self.paused and not pause:
                 self.since = self.server.loop.time()  # what did not come meanwhile was not to come
-        if self.transport is not None and pause is not self.paused:
+        if self.transport is not None and not self.transport.is_closing() and pause is not self.paused:
             self.paused = pause
             if pause:
                 self.transport.pause_reading()
--- a/rosewheel/http/connection.py
+++ b/rosewheel/http/connection.py
@@ -62,6 +62,7 @@
     began_s: float = 0.0
     wrote: Callable[[], None] = lambda: None  # its last byte went out
     begin: Callable[[int | None, Callable[[], None]], Sink | None] | None = None
+    wanted: Callable[[], bool] = lambda: True  # asked right before its first byte goes out
     body: Body | None = None
     chunked: bool = False
     at: int = 0  # the number of the body's next piece
@@ -204,8 +205,10 @@
         """What this connection carries is over, as far as it goes."""
         exchange, self.exchange = self.exchange, None
         self.sink = None
-        if exchange is not None and exchange.body is not None and exchange.body.reader == self._feed:
-            exchange.body.reader = None
+        if exchange is not None and exchange.body is not None:
+            if exchange.body.reader == self._feed:
+                exchange.body.reader = None
+            exchange.body.again()
 
     def close(self) -> None:
         if self.transport is not None:
--- a/rosewheel/http/equipos.py
+++ b/rosewheel/http/equipos.py
@@ -108,16 +108,26 @@
     # ---------------------------------------------------------------- attempts
 
     def start(
-        self, id: str, attempt: int, host: str, head: bytes, body: Body | None = None, chunked: bool = False
+        self,
+        id: str,
+        attempt: int,
+        host: str,
+        head: bytes,
+        body: Body | None = None,
+        chunked: bool = False,
+        wanted: Callable[[], bool] = lambda: True,
     ) -> None:
+        """Send this attempt. Where its connection has to come up first, `wanted` is asked right before the first byte:
+        whether its caller is still there."""
+
         def done(result: Result, report: Report | None, body: bytes) -> None:
-            del self.live[id, attempt]
-            self.ended(id, attempt, result, report, body)
+            if self.live.pop((id, attempt), None) is not None:
+                self.ended(id, attempt, result, report, body)
 
         def begin(length: int | None, eased: Callable[[], None]) -> Sink | None:
             return self.began(id, attempt, length, eased)
 
-        exchange = Exchange(head, done, self.loop.time(), self.tried, begin, body, chunked)
+        exchange = Exchange(head, done, self.loop.time(), self.tried, begin, wanted, body, chunked)
         self.live[id, attempt] = exchange
         self._begin(host, exchange)
 
@@ -211,9 +221,10 @@
             if not made:  # also where the attempt was given up just as the connection came up
                 conn.close()
         exchange.task = None
-        if made:
+        if made and exchange.wanted():
             conn.send(exchange)
         else:
+            conn.close()
             exchange.done(Result.CONNECT_FAILED, None, b"")
 
     # ------------------------------------------------------------------ moving
@@ -318,7 +329,8 @@
             conn.pool.idle.remove(conn)
 
     def release(self, conn: Connection) -> None:
-        if self._open_to(conn.pool.host) and conn.pool.up and conn.pool.dial == conn.dial:
+        same = conn.pool.dial == conn.dial
+        if self._open_to(conn.pool.host) and conn.pool.up and same:
             conn.idle_since = self.loop.time()
             conn.pool.idle.append(conn)
             self.resting[conn] = None
--- a/rosewheel/relay/relay.py
+++ b/rosewheel/relay/relay.py
@@ -448,11 +448,15 @@
         match effect:
             case Dispatch():
                 call = self.calls.get(effect.id)
-                if call is None:  # the caller left before anything was sent
+                # Asked again at each attempt: a loop that is late reads of a caller's end after that of an attempt.
+                if call is None or call.caller.forget_if_left():
                     self.loop.call_soon(self._ended, effect.id, effect.attempt, Result.CANCELLED, None, b"")
                     return
                 head, chunked = call.head(effect.timeout_ms)
-                self.upstream.start(effect.id, effect.attempt, effect.server, head, call.body, chunked)
+                wanted = call.caller.still_there
+                self.upstream.start(
+                    effect.id, effect.attempt, effect.server, head, call.body, chunked, wanted
+                )
             case Abort():
                 self.upstream.abort(effect.id, effect.attempt)
             case Answer():
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -70,6 +70,8 @@
     async def main() -> None:
         nonlocal most
         async with RawServer(taking).up() as server, node([entry("s", server.port)]) as relay:
+            # What one connection may hold while that to the equipo comes up.
+            relay.budget.most = body_module.SHARES * body_module.HOLD_BYTES
             async with Client(relay) as client:
                 data = pattern(SIZE)
                 framing = "Transfer-Encoding: chunked" if chunked else f"Content-Length: {SIZE}"
--- a/tests/test_leavers.py
+++ b/tests/test_leavers.py
@@ -3,16 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
+import os
 import socket
 import struct
+from collections.abc import Iterator
 
 import pytest
-from helpers import UNSAFE
+from helpers import KEYED, SAFE, UNSAFE
 from sockets import Client, FakeServer, Message, answer, entry, node, run, status, until
 
-from rosewheel.http.caller import Caller
+from rosewheel.decide.interface import Send
+from rosewheel.http.body import SHARES
+from rosewheel.http.caller import WAITING, Caller
 from rosewheel.http.callers import UNREAD_S
+from rosewheel.relay.relay import Relay, now_ms
 
 
 def held_back() -> tuple[asyncio.Event, object]:
@@ -104,6 +110,7 @@
             node([entry("s", server.port)], classes=(patient,)) as relay,
         ):
             async with Client(relay) as client:
+                relay.budget.most = SHARES * 16384
                 for at in range(3):
                     client.send("post", id=f"r{at}", body=b"x" * 9000, timeout=60000)
                 await until(lambda: len(server.got) == 1)
@@ -196,6 +203,245 @@
     assert UNREAD_S * 2 < 0.3
 
 
+# Patient enough that no deadline ends anything here; a key is remembered for longer than any test takes.
+PATIENT = tuple(
+    dataclasses.replace(kind, aim_ms=60000, give_up_ms=60000, memory_ms=100_000 if kind is KEYED else 0.0)
+    for kind in (SAFE, UNSAFE, KEYED)
+)
+
+
+@pytest.fixture
+def unasked(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Nobody asks the system for those that are not read: what holds then holds in between as well."""
+    monkeypatch.setattr("rosewheel.http.callers.UNREAD_S", 3600.0)
+
+
+async def unread(relay: Relay, client: Client) -> Caller:
+    """Requests ahead of the answer that is due, until their connection is not read any more."""
+    (caller,) = relay.server.callers
+    for at in range(WAITING):
+        client.send("post", id=f"ahead-{at}", timeout=60000)
+    await until(lambda: caller.paused)
+    return caller
+
+
+async def fail(server: FakeServer, how: str) -> None:
+    """End the attempt that is out so that another one may follow."""
+    if how == "full":
+        server.writers[-1].write(answer(503, b"", Not_Started="1"))
+    else:
+        server.writers[-1].transport.abort()  # type: ignore[union-attr]
+
+
+@pytest.mark.usefixtures("unasked")
+@pytest.mark.parametrize("how", ["close", "reset", "half"])
+@pytest.mark.parametrize(("service", "end"), [("post", "full"), ("read", "cut"), ("points", "cut")])
+def test_no_further_attempt_after_one_that_failed(how: str, service: str, end: str):
+    """A retry, or the repeat of a keyed request: nobody had asked whether its caller was still there."""
+
+    async def main() -> None:
+        async def silent(message: Message, writer: asyncio.StreamWriter) -> None:
+            pass
+
+        async with FakeServer(silent).up() as one, FakeServer(silent).up() as two:
+            entries = [entry("one", one.port), entry("two", two.port)]
+            async with node(entries, classes=PATIENT) as relay, Client(relay) as client:
+                client.send(service, id="first", timeout=60000)
+                await until(lambda: one.got or two.got)
+                await unread(relay, client)
+                leave(client, how)
+                await asyncio.sleep(0)  # so that the system has been told
+                await fail(one if one.got else two, end)
+                await until(lambda: not relay.node.open and not relay.upstream.live)
+                assert len(one.got) + len(two.got) == 1
+                assert relay.node.active == relay.budget.used == relay.upstream.coming == 0
+
+    run(main())
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+def test_no_further_attempt_where_a_late_loop_reads_the_failure_first(
+    cancel: bool, monkeypatch: pytest.MonkeyPatch
+):
+    """The end of the caller and that of the attempt lie side by side, the attempt's before."""
+    monkeypatch.setattr("rosewheel.http.equipos.SETTLE_S", -1.0)
+
+    async def main() -> None:
+        sock = socket.socket()
+
+        async def full(message: Message, writer: asyncio.StreamWriter) -> None:
+            if message.first.startswith("GET /_load"):
+                writer.write(answer())
+                return
+            # In one turn of the loop, which finds both at its next one.
+            os.write(writer.get_extra_info("socket").fileno(), answer(503, b"", Not_Started="1"))
+            sock.close()
+
+        async with FakeServer(full).up() as one, FakeServer(full).up() as two:
+            entries = [entry("one", one.port), entry("two", two.port)]
+            async with node(entries, classes=PATIENT, may_cancel=cancel) as relay:
+                for name in ("one", "two"):  # so that a connection is at hand
+                    relay.upstream.probe(name)
+                await until(lambda: len(relay.upstream.resting) == 2)
+                sock.connect(("127.0.0.1", relay.server.port))
+                sock.sendall(
+                    b"POST / HTTP/1.1\r\nRequest-Id: r\r\nRequest-Class: post\r\n"
+                    b"Request-Timeout-Ms: 60000\r\nContent-Length: 0\r\n\r\n"
+                )
+                await until(lambda: len(one.got) + len(two.got) >= 3)
+                await until(lambda: not relay.server.callers and not relay.node.open)
+                assert len(one.got) + len(two.got) == 3
+                assert not relay.upstream.live
+                assert relay.node.active == 0
+
+    run(main())
+
+
+@pytest.mark.usefixtures("unasked")
+@pytest.mark.parametrize("how", ["close", "reset", "half"])
+def test_no_second_copy(how: str):
+    async def main() -> None:
+        free, slow = held_back()
+        async with FakeServer(slow).up() as one, FakeServer(slow).up() as two:  # type: ignore[arg-type]
+            entries = [entry("one", one.port), entry("two", two.port)]
+            async with node(entries, classes=PATIENT) as relay, Client(relay) as client:
+                client.send("read", id="first", timeout=60000)
+                await until(lambda: one.got or two.got)
+                await unread(relay, client)
+                leave(client, how)
+                await asyncio.sleep(0)
+                relay.node._act(now_ms(), Send("first", "two" if one.got else "one", 50000.0))
+                relay.apply(relay.node._run(now_ms()))
+                await until(lambda: not relay.node.open and not relay.upstream.live)
+                assert relay.upstream.coming == 0
+                assert len(one.got) + len(two.got) == 1
+            free.set()
+
+    run(main())
+
+
+@contextlib.contextmanager
+def crowded() -> Iterator[tuple[socket.socket, socket.socket]]:
+    """A listener whose queue is full, and who fills it: the next connection comes up when the queue is shorter and
+    the system has tried again, a second after its first try."""
+    with socket.socket() as listener, socket.socket() as filler:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        filler.connect(listener.getsockname())
+        listener.setblocking(False)
+        yield listener, filler
+
+
+async def comes_up(listener: socket.socket, relay: Relay) -> bytes:
+    """Take who fills the queue, and then what the node opens: all that it writes there."""
+    listener.accept()[0].close()
+    loop = asyncio.get_running_loop()
+    sock, _ = await loop.sock_accept(listener)
+    with sock:
+        sock.setblocking(False)
+        await until(lambda: relay.upstream.coming == 0)
+        got = b""
+        with contextlib.suppress(ConnectionError):
+            while piece := await loop.sock_recv(sock, 65536):
+                got += piece
+        return got
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+@pytest.mark.parametrize("how", ["close", "reset", "half"])
+def test_a_connection_that_is_late_is_given_up_with_its_caller(how: str, cancel: bool):
+    async def main() -> None:
+        with crowded() as (listener, _):
+            port = listener.getsockname()[1]
+            async with node([entry("s", port)], classes=PATIENT, may_cancel=cancel) as relay:
+                async with Client(relay) as client:
+                    client.send("post", timeout=60000)
+                    await until(lambda: relay.upstream.coming == 1)
+                    leave(client, how)
+                    await until(lambda: relay.upstream.coming == 0)
+                listener.accept()[0].close()
+                with pytest.raises(BlockingIOError):
+                    listener.accept()
+                assert not relay.node.open
+                assert not relay.upstream.live
+
+    run(main())
+
+
+@pytest.mark.usefixtures("unasked")
+@pytest.mark.parametrize("how", ["close", "reset", "half"])
+def test_nothing_goes_out_on_a_connection_that_comes_up_late(how: str):
+    """It comes up a second after the caller has left, and nobody has heard of that."""
+
+    async def main() -> None:
+        with crowded() as (listener, _):
+            port = listener.getsockname()[1]
+            async with node([entry("s", port)], classes=PATIENT) as relay, Client(relay) as client:
+                client.send("post", id="first", timeout=60000)
+                await until(lambda: relay.upstream.coming == 1)
+                await unread(relay, client)
+                leave(client, how)
+                assert await comes_up(listener, relay) == b""
+                assert not relay.node.open
+                assert not relay.upstream.live
+                assert relay.upstream.opened == 0
+
+    run(main())
+
+
+async def push(sock: socket.socket, data: bytes, caller: Caller) -> None:
+    """Hand all of it to the system, or as much as it takes while the node does not read."""
+    sock.setblocking(False)
+    view = memoryview(data)
+    full = 0
+    while view and full < 20:  # it takes no more for so many turns while nothing is read
+        try:
+            view = view[sock.send(view) :]
+            full = 0
+        except BlockingIOError:
+            full += caller.paused
+            await asyncio.sleep(0.002)
+
+
+@pytest.mark.parametrize("way", ["body", "ahead"])
+def test_an_end_behind_much_that_was_sent_is_heard(way: str):
+    """The end of a connection stands behind all that its caller has sent: while that is not read, not even the
+    system of this machine has been told of it."""
+
+    async def main() -> None:
+        with crowded() as (listener, _), socket.socket() as sock:
+            port = listener.getsockname()[1]
+            async with node([entry("s", port)], classes=PATIENT) as relay:
+                listening = relay.server.listening_socket
+                assert listening is not None
+                # The same for those whom it accepts.
+                listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+                sock.connect(("127.0.0.1", relay.server.port))
+                head = b"POST / HTTP/1.1\r\nRequest-Class: post\r\nRequest-Timeout-Ms: 60000\r\n"
+                if way == "body":
+                    start = head + b"Request-Id: r\r\nContent-Length: 20000000\r\n\r\n" + bytes(1_100_000)
+                    rest = bytes(3_000_000)
+                else:
+                    start = head + b"Request-Id: first\r\nContent-Length: 0\r\n\r\n"
+                    more = head + b"Request-Id: %d\r\nContent-Length: 900000\r\n\r\n" + bytes(900_000)
+                    rest = b"".join(more.replace(b"%d", b"%d" % at) for at in range(4))
+                await until(lambda: bool(relay.server.callers))
+                (caller,) = relay.server.callers
+                await push(sock, start, caller)
+                await until(lambda: relay.upstream.coming == 1)
+                await push(sock, rest, caller)
+                sock.close()
+                await until(lambda: relay.upstream.coming == 0 or caller.paused)
+                listener.accept()[0].close()
+                await until(lambda: not relay.node.open and not relay.server.callers)
+                await until(lambda: relay.upstream.coming == relay.upstream.opened == 0)
+                with pytest.raises(BlockingIOError):
+                    listener.accept()
+                assert relay.budget.used == 0
+
+    run(main())
+
+
 class _Loop:
     def __init__(self, loop: object, create_connection: object) -> None:
         self._loop, self.create_connection = loop, create_connection
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -29,6 +29,7 @@
 
 from rosewheel.config.platform import Config
 from rosewheel.decide import interface as api
+from rosewheel.http.body import SHARES
 from rosewheel.http.connection import report_from
 from rosewheel.node.bounds import Bounds
 from rosewheel.relay.relay import Relay
@@ -377,6 +378,7 @@
     async def main() -> None:
         free, slow = held_back()
         async with FakeServer(slow).up() as server, node([entry("s", server.port)]) as relay:
+            relay.budget.most = SHARES * 16384  # so that a connection may hold 16 KB
             async with Client(relay) as client:
                 for at in range(3):
                     client.send("post", id=f"r{at}", body=b"x" * 9000)
