A connection to an equipo is dropped by the start it was opened under

One that was in use while its equipo drained and came up again under a new start went back to its pool and could carry one more request, to a process that was gone. It keeps the start under which it was opened, and rests only where that is still the equipo's. The test failed without it (one connection used, two expected).

--- a/rosewheel/http/connection.py
+++ b/rosewheel/http/connection.py
@@ -99,6 +99,7 @@
 
     def __init__(self, owner: Upstream, pool: Pool) -> None:
         self.owner, self.pool, self.dial = owner, pool, pool.dial
+        self.launched_ms = pool.launched_ms  # the start of the server under which it was opened
         self.parser = httptools.HttpResponseParser(self)
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
--- a/rosewheel/http/equipos.py
+++ b/rosewheel/http/equipos.py
@@ -329,7 +329,7 @@
             conn.pool.idle.remove(conn)
 
     def release(self, conn: Connection) -> None:
-        same = conn.pool.dial == conn.dial
+        same = conn.pool.dial == conn.dial and conn.pool.launched_ms == conn.launched_ms
         if self._open_to(conn.pool.host) and conn.pool.up and same:
             conn.idle_since = self.loop.time()
             conn.pool.idle.append(conn)
--- a/tests/test_reuse.py
+++ b/tests/test_reuse.py
@@ -114,3 +114,35 @@
             assert server.connections == 2
 
     run(main())
+
+
+@pytest.mark.usefixtures("settled")
+@pytest.mark.parametrize("again_ms", [None, 2000.0])
+def test_a_connection_in_use_is_dropped_by_the_start_it_was_opened_under(again_ms: float | None):
+    """Its equipo drained while it answered, and came up again under a new start."""
+
+    async def main() -> None:
+        free = asyncio.Event()
+
+        async def slow(message: Message, writer: asyncio.StreamWriter) -> None:
+            await free.wait()
+            writer.write(answer())
+
+        async with FakeServer(slow).up() as server, node([entry("s", server.port)]) as relay:
+
+            def told(state: ServerState, launched_ms: float | None) -> None:
+                named = Server("s", "a", 0, state, launched_ms)
+                relay._heard(ListForm.DELTA, [(named, ("127.0.0.1", server.port))])
+
+            async with Client(relay) as client:
+                first_ms = relay.upstream.pools["s"].launched_ms
+                client.send("post")
+                await until(lambda: len(server.got) == 1)
+                told(ServerState.DRAINING, first_ms)
+                told(ServerState.UP, first_ms if again_ms is None else again_ms)
+                free.set()
+                assert status(await client.answer()) == 200
+                assert status(await client.ask("post")) == 200
+            assert server.connections == (1 if again_ms is None else 2)
+
+    run(main())
