--- a/rosewheel/__init__.py
+++ b/rosewheel/__init__.py
@@ -1,6 +1,24 @@
 """rosewheel: load balancing decisions for services that call services in tiers."""
 
-from rosewheel.decide.interface import Settings
-from rosewheel.decide.policy import Balancer
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from rosewheel.decide.interface import Settings
+    from rosewheel.decide.policy import Balancer
 
 __all__ = ["Balancer", "Settings"]
+
+
+def __getattr__(name: str) -> object:
+    """The module by itself, when it is asked for: whoever imports another part of the package first says how."""
+    if name == "Balancer":
+        from rosewheel.decide.policy import Balancer
+
+        return Balancer
+    if name == "Settings":
+        from rosewheel.decide.interface import Settings
+
+        return Settings
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/rosewheel/__main__.py
+++ b/rosewheel/__main__.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import gc
 import sys
 
-from rosewheel import logs
-from rosewheel.config import platform
-from rosewheel.relay import serve
-
 
 def main() -> int:
+    # What the imports make stays as long as the node: nothing is looked through until it serves. Hence in here.
+    gc.disable()
+    from rosewheel import logs
+    from rosewheel.config import platform
+    from rosewheel.relay import serve
+
     logs.start()
     return serve.run(lambda again: platform.load(again=again))
 
--- a/rosewheel/handover/link.py
+++ b/rosewheel/handover/link.py
@@ -10,7 +10,6 @@
 import struct
 from collections import deque
 from collections.abc import Callable, Iterator
-from pathlib import Path
 
 from rosewheel.handover.wire import PACKET_BYTES, Message, Reader, WireError, packets
 
@@ -32,7 +31,7 @@
 
 
 @contextlib.contextmanager
-def _reachable(folder: Path) -> Iterator[str]:
+def _reachable(folder: str) -> Iterator[str]:
     """The folder by a short name: the path of a Unix socket may have no more than some hundred bytes."""
     fd = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
     try:
@@ -47,27 +46,29 @@
     return bool(uid == os.geteuid())
 
 
-def listen(folder: Path) -> socket.socket:
+def listen(folder: str) -> socket.socket:
     """In place of the process that listened here before, whose links stay. OSError where it can't be."""
     sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-    part = f"handover.{os.getpid()}.part"
+    name = f"handover.{os.getpid()}.part"
+    part = os.path.join(folder, name)
     try:
         with _reachable(folder) as near:
-            (folder / part).unlink(missing_ok=True)
-            sock.bind(f"{near}/{part}")
-            os.chmod(folder / part, 0o600)
+            with contextlib.suppress(FileNotFoundError):
+                os.unlink(part)
+            sock.bind(f"{near}/{name}")
+            os.chmod(part, 0o600)
             sock.listen(4)
-            os.replace(folder / part, folder / NAME)
+            os.replace(part, os.path.join(folder, NAME))
         sock.setblocking(False)
     except BaseException:
         sock.close()
         with contextlib.suppress(OSError):
-            (folder / part).unlink(missing_ok=True)
+            os.unlink(part)
         raise
     return sock
 
 
-def connect(folder: Path) -> socket.socket | None:
+def connect(folder: str) -> socket.socket | None:
     """To the process that listens there; None where none does, or it is not of this user."""
     sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
     sock.setblocking(False)
--- a/rosewheel/handover/service.py
+++ b/rosewheel/handover/service.py
@@ -6,7 +6,6 @@
 import logging
 import os
 import socket
-from pathlib import Path
 from typing import Any
 
 from rosewheel.handover import wire
@@ -28,7 +27,7 @@
     neither."""
 
     def __init__(self, folder: str | None, name: str, moves: Moves) -> None:
-        self.folder = Path(folder) if folder else None
+        self.folder = folder or None
         self.name, self.moves = name, moves
         self.before: Link | None = None
         self.after: Link | None = None
@@ -162,7 +161,8 @@
 
     def _lend(self, link: Link) -> None:
         relay = self.moves.relay
-        socks = (relay.server.listening_socket, relay.admin.listening_socket)
+        door = relay.admin
+        socks = (relay.server.listening_socket, door.listening_socket if door is not None else None)
         link.send({"t": "lent"}, fds=tuple(sock.fileno() for sock in socks if sock is not None))
 
     def _beside(self) -> None:
--- a/rosewheel/http/call.py
+++ b/rosewheel/http/call.py
@@ -4,7 +4,6 @@
 
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
-from urllib.parse import urlsplit
 
 from rosewheel.http.body import Body
 
@@ -96,6 +95,9 @@
     """A target as a server wants it, and the authority where the target named one: a proxy takes either."""
     if target[:7].lower() != b"http://":
         return target, None
+    # Imported where it is needed, which is seldom: at a start it would cost every node time.
+    from urllib.parse import urlsplit
+
     parts = urlsplit(target.decode("latin-1"))
     path = (parts.path or "/") + (f"?{parts.query}" if "?" in target.decode("latin-1") else "")
     return path.encode("latin-1"), parts.netloc.rpartition("@")[2].encode("latin-1")
--- a/rosewheel/relay/relay.py
+++ b/rosewheel/relay/relay.py
@@ -13,7 +13,7 @@
 import socket
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from rosewheel.config.platform import Config
 from rosewheel.decide.interface import ListForm, Request, Result
@@ -41,11 +41,12 @@
     StartWatch,
 )
 from rosewheel.node.figures import Ended
-from rosewheel.ops import door as admin
-from rosewheel.ops.door import Admin
 from rosewheel.relay.snapshots import Snapshots
 from rosewheel.relay.state import State
 
+if TYPE_CHECKING:
+    from rosewheel.ops.door import Admin
+
 log = logging.getLogger("rosewheel.relay")
 
 SPARE = 40  # descriptors kept for everything but callers and servers, or a part of them where there are few
@@ -105,7 +106,12 @@
             lambda: self.node.can_serve,
             self.budget,
         )
-        self.admin = Admin(self)
+        self.admin: Admin | None = None
+        self.admin_spare = 0  # descriptors that are kept for it
+        if config.ops is not None:  # imported where it is asked for: each start would pay for it
+            from rosewheel.ops import door
+
+            self.admin, self.admin_spare = door.Admin(self), door.MOST
         self.snapshots = Snapshots(config.state, config.name, self._learned)
         self.random = random.Random(config.seed)
         self.moves = Moves(self)
@@ -137,7 +143,7 @@
             inherited, door = await self._borrow()
         sock = open_listener(self.config.listen, inherited)
         self.state.start()  # before anything can be sent: what is out by hand stays out
-        if self.config.ops is not None:
+        if self.admin is not None and self.config.ops is not None:
             await self.admin.start(door or bind(self.config.ops, "LB_OPS"))
         self._heard(ListForm.CACHED, entries_from(self.config.known.get("hosts")))
         self._recall()
@@ -209,7 +215,8 @@
         await self.server.drain(longest_ms / 1000.0, self.taking_over or given, self._give if given else None)
         self.stopped = True
         self.handover.close()
-        self.admin.close()
+        if self.admin is not None:
+            self.admin.close()
         self.state.close()
         self.discovery.close()
         self.discovery.lists.close()
@@ -260,9 +267,8 @@
             half = max(half, sockets - self.theirs - 2 * WINDOW)
         sockets = half
         self.budget.most = int(self.config.bounds.memory_mb / self.processes * BODIES_PART) << 20
-        spare = min(SPARE, max(24, sockets // SPARE_PART))
-        if self.config.ops is not None:
-            spare += admin.MOST  # so that no crowd can keep operators out
+        # The door's are its own, so that no crowd can keep operators out.
+        spare = min(SPARE, max(24, sockets // SPARE_PART)) + self.admin_spare
         self.most = max(8, sockets - spare)
         self.server.most_surplus = max(2, min(SURPLUS, sockets // SURPLUS_PART))
         self.server.most = max(6, int(self.most * CALLERS))
--- a/rosewheel/relay/serve.py
+++ b/rosewheel/relay/serve.py
@@ -40,6 +40,7 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(20000, 20, 50)
+    gc.enable()
     log.info("%s serves, %.0f ms of CPU", config.name, time.process_time() * 1e3)
     await stop.wait()
     await relay.drain()
--- a/rosewheel/relay/snapshots.py
+++ b/rosewheel/relay/snapshots.py
@@ -16,7 +16,6 @@
 import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
-from pathlib import Path
 from typing import Any
 
 import orjson
@@ -90,7 +89,7 @@
     """Writes one now and then from `start` on, and once more at `close`. Without a folder it does nothing."""
 
     def __init__(self, folder: str | None, node: str, take: Taken) -> None:
-        self.path = Path(folder) / NAME if folder else None
+        self.path = os.path.join(folder, NAME) if folder else None
         self.node, self.take = node, take
         self.cost_s = 0.0  # of the last one
         self.failing = False
@@ -101,7 +100,7 @@
         if self.path is None:
             return None
         try:
-            with self.path.open("rb") as file:
+            with open(self.path, "rb") as file:
                 data = file.read(FILE_BYTES + 1)
             if len(data) > FILE_BYTES:
                 raise ValueError("too long")
@@ -116,7 +115,7 @@
     def _set_aside(self) -> None:
         assert self.path is not None
         try:
-            self.path.replace(self.path.with_name(ASIDE))
+            os.replace(self.path, os.path.join(os.path.dirname(self.path), ASIDE))
         except OSError as error:
             log.warning("it could not be set aside: %s", error)
 
@@ -135,17 +134,18 @@
         if self.path is None:
             return
         began = time.perf_counter()
-        part = self.path.with_name(f"learned.{os.getpid()}.part")
+        part = os.path.join(os.path.dirname(self.path), f"learned.{os.getpid()}.part")
         try:
-            part.write_bytes(encoded(self.node, *self.take(), clocks()))
-            part.replace(self.path)
+            with open(part, "wb") as file:
+                file.write(encoded(self.node, *self.take(), clocks()))
+            os.replace(part, self.path)
             self.failing = False
         except OSError as error:
             if not self.failing:
                 log.error("what is learned is not kept: %s", error)
             self.failing = True
             with contextlib.suppress(OSError):
-                part.unlink(missing_ok=True)
+                os.unlink(part)
         self.cost_s = time.perf_counter() - began
 
     def _later(self) -> None:
--- a/rosewheel/relay/state.py
+++ b/rosewheel/relay/state.py
@@ -14,7 +14,6 @@
 import logging
 import os
 from collections.abc import Callable, Iterator
-from pathlib import Path
 from typing import Any
 
 import orjson
@@ -39,7 +38,7 @@
     Without a folder it holds nothing beyond this process."""
 
     def __init__(self, folder: str | None, shared: Shared, company: Company, follow: bool = True) -> None:
-        self.folder = Path(folder) if folder else None
+        self.folder = folder or None
         self.shared, self.company = shared, company
         self.follow = follow  # whether another process can be there, now or later
         self.cordoned: frozenset[str] = frozenset()
@@ -53,7 +52,7 @@
         if self.folder is None:
             return
         try:
-            self._presence = os.open(self.folder / "present.lock", LOCK_FLAGS, 0o600)
+            self._presence = os.open(os.path.join(self.folder, "present.lock"), LOCK_FLAGS, 0o600)
             fcntl.flock(self._presence, fcntl.LOCK_SH | fcntl.LOCK_NB)
         except OSError as error:
             log.error("no state is kept: %s", error)
@@ -86,7 +85,7 @@
         deadline = asyncio.get_running_loop().time() + LOCK_S
         while True:
             try:
-                with _locked(self.folder / "state.lock"):
+                with _locked(os.path.join(self.folder, "state.lock")):
                     held = self._read()
                     # Where the file is damaged or gone, what this process knows is the best there is.
                     cordoned = _changed(self.cordoned if held is None else held, member, out)
@@ -103,12 +102,14 @@
 
     def _write(self, cordoned: frozenset[str]) -> None:
         assert self.folder is not None
-        part = self.folder / f"state.{os.getpid()}.part"
+        part = os.path.join(self.folder, f"state.{os.getpid()}.part")
         try:
-            part.write_bytes(orjson.dumps({"version": VERSION, "cordoned": sorted(cordoned)}))
-            part.replace(self.folder / "state.json")
+            with open(part, "wb") as file:
+                file.write(orjson.dumps({"version": VERSION, "cordoned": sorted(cordoned)}))
+            os.replace(part, os.path.join(self.folder, "state.json"))
         except OSError:
-            part.unlink(missing_ok=True)
+            with contextlib.suppress(FileNotFoundError):
+                os.unlink(part)
             raise
 
     # ------------------------------------------------------------------ follow
@@ -133,7 +134,7 @@
     def _look(self) -> Stamp | None:
         assert self.folder is not None
         try:
-            found = (self.folder / "state.json").stat()
+            found = os.stat(os.path.join(self.folder, "state.json"))
         except OSError:
             return None
         return found.st_ino, found.st_mtime_ns, found.st_size
@@ -142,7 +143,7 @@
         """The set in the file; None, with a line in the log, where there is no good one."""
         assert self.folder is not None
         try:
-            with open(self.folder / "state.json", "rb") as file:
+            with open(os.path.join(self.folder, "state.json"), "rb") as file:
                 return _parsed(file.read(FILE_BYTES + 1))
         except FileNotFoundError:
             return None
@@ -169,7 +170,7 @@
 
 
 @contextlib.contextmanager
-def _locked(path: Path) -> Iterator[None]:
+def _locked(path: str) -> Iterator[None]:
     """Guards a change against one that the other process makes between its reading and its writing."""
     descriptor = os.open(path, LOCK_FLAGS, 0o600)
     try:
