--- a/tests/test_body.py
+++ b/tests/test_body.py
@@ -66,3 +66,29 @@
     item.release()
     item.add(b"cd")
     assert (item.size, item.held, budget.used, list(item.pieces)) == (4, 0, 0, [])
+
+
+def test_a_body_whose_reader_is_gone_is_read_up_to_its_share_again():
+    """Guards the news of a caller's end, which stands behind its body, while the next attempt's connection comes up;
+    and memory: what has been dropped does not come back, and who is not there any more is not asked for more."""
+    eased: list[int] = []
+    body = Body(Budget(1 << 20), lambda: eased.append(1))
+    body.add(b"a")
+    body.again()
+    assert not body.read
+    assert not eased  # nobody has read
+    assert body.piece(0) == b"a"
+    assert body.read
+    body.again()
+    assert not body.read
+    assert len(eased) == 1
+    body.streamed = True
+    body.add(b"b")
+    assert body.piece(1) == b"b"  # the first is dropped
+    body.again()
+    assert body.read
+    assert not body.resendable
+
+
+def test_no_body_holds_more_than_a_part_of_what_all_may():
+    assert 0 < Budget(64 << 20).share <= (64 << 20) // 4
