The watch client is general: discovery only turns rows into entries

Another follower (of configuration) needs the same client and must not copy it. discovery/watch.py has the times, one open answer (`_Watch`) and `Watcher`, which is given the path by the last count, what makes of an object what is wanted, and who takes it; `Discovery` is one with the path of the catalogue and `Lists`. Tests that set the times shorter name their new place.

--- a/rosewheel/relay/relay.py
+++ b/rosewheel/relay/relay.py
@@ -19,7 +19,8 @@
 from rosewheel.decide.interface import ListForm, Request, Result
 from rosewheel.decide.learned import Learned
 from rosewheel.decide.policy import FEW
-from rosewheel.discovery.catalog import SILENCE_PUSHED_S, SILENCE_S, Discovery, Entry, entries_from
+from rosewheel.discovery.catalog import Discovery, Entry, entries_from
+from rosewheel.discovery.watch import SILENCE_PUSHED_S, SILENCE_S
 from rosewheel.handover.moves import Moves
 from rosewheel.handover.offers import WINDOW
 from rosewheel.handover.service import Handover
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -7,7 +7,7 @@
 import pytest
 from sockets import Client, FakeDiscovery, FakeServer, entry, node, run, status, until
 
-from rosewheel.discovery import catalog as discovery_module
+from rosewheel.discovery import watch as watch_module
 from rosewheel.node.bounds import Bounds
 from rosewheel.relay import relay as relay_module
 
@@ -100,7 +100,7 @@
 
 
 def test_a_watch_that_is_never_answered_is_given_up_soon(monkeypatch: pytest.MonkeyPatch):
-    monkeypatch.setattr(discovery_module, "FIRST_S", 0.05)
+    monkeypatch.setattr(watch_module, "FIRST_S", 0.05)
 
     async def main() -> None:
         async with FakeDiscovery(mute=True).up() as discovery, node([], pushed=discovery):
--- a/tests/test_list_crossings.py
+++ b/tests/test_list_crossings.py
@@ -15,7 +15,7 @@
 from sockets import FakeServer, answer, config, entry, read_message, run, until
 
 from rosewheel.decide.interface import ListForm
-from rosewheel.discovery import catalog
+from rosewheel.discovery import watch
 from rosewheel.discovery.catalog import Discovery, Entry
 from rosewheel.node.bounds import Bounds
 from rosewheel.relay import relay as relay_module
@@ -135,7 +135,7 @@
 ):
     """What discovery has at its return counts as told at once: no wait may lie between one watch and the next.
     Seen: a wait of up to a second, in which a return went unheard for 0.45 s of the 0.4 that a drain allows."""
-    monkeypatch.setattr(catalog, "FIRST_S", 0.05)
+    monkeypatch.setattr(watch, "FIRST_S", 0.05)
     monkeypatch.setattr(relay_module, "SILENCE_PUSHED_S", 0.05)
     waits: list[float] = []
 
@@ -185,9 +185,9 @@
 
 def test_the_times_of_a_silent_watch_fit_under_the_six_seconds():
     """Of a watch that falls silent, and of the next one that is silent too: noticed, opened, and heard."""
-    assert catalog.SILENCE_PUSHED_S > 2.0  # an empty line comes so often
-    assert catalog.SILENCE_PUSHED_S + catalog.FIRST_S < 6.0
-    assert catalog.SILENCE_S + 0.5 < 6.0  # where it is asked for, with the module's first wait
+    assert watch.SILENCE_PUSHED_S > 2.0  # an empty line comes so often
+    assert watch.SILENCE_PUSHED_S + watch.FIRST_S < 6.0
+    assert watch.SILENCE_S + 0.5 < 6.0  # where it is asked for, with the module's first wait
 
 
 def _grace(config: object, grace_ms: float) -> object:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -635,7 +635,7 @@
 
 def test_a_silent_watch_is_a_failed_one(monkeypatch: pytest.MonkeyPatch):
     """Guards the list against a discovery that is cut off: its connection stays open and says nothing."""
-    monkeypatch.setattr("rosewheel.discovery.catalog.SILENCE_S", 0.05)
+    monkeypatch.setattr("rosewheel.discovery.watch.SILENCE_S", 0.05)
 
     async def main() -> None:
         async with FakeDiscovery().up() as discovery, node([], discovery):
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,53 @@
+"""The watch client by itself: whatever its objects hold, it goes on from the last one that made sense."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import Any
+
+import pytest
+from sockets import run, until
+from test_list_crossings import HEAD, Agent, chunk
+
+from rosewheel.discovery.watch import Watcher
+
+LOG = logging.getLogger("rosewheel.test")
+
+
+def _pairs(row: dict[str, Any]) -> dict[str, Any]:
+    if not isinstance(row["pairs"], dict):
+        raise TypeError("pairs is not an object")
+    return row["pairs"]
+
+
+@pytest.mark.parametrize(
+    "second", [b'{"seq":9,"pairs":[]}\n', b'{"seq":9}\n', b"[]\n", b'"pairs"\n', b"\xff\n"]
+)
+def test_objects_of_any_kind_are_followed_and_a_bad_one_is_not_taken(second: bytes):
+    """The path is made anew for each watch, by the count of what made sense last."""
+
+    async def main() -> None:
+        took: list[tuple[bool, dict[str, Any]]] = []
+        ended = asyncio.Event()
+        first = b'{"seq":8,"whole":true,\n"pairs":{"a":1}}\n'
+        async with Agent(scripts={1: HEAD + chunk(b"\n") + chunk(first) + chunk(second)}).up() as agent:
+            watcher = Watcher(
+                ("127.0.0.1", agent.port),
+                3,
+                lambda since: f"/pairs?from={since}",
+                _pairs,
+                lambda whole, pairs: took.append((whole, pairs)),
+                ended.set,
+                LOG,
+            )
+            watcher.watch()
+            await ended.wait()
+            assert not watcher.open
+            watcher.watch()
+            await until(lambda: len(agent.asked) == 2)
+            watcher.close()
+        assert took == [(True, {"a": 1})]
+        assert [line.split()[1] for line in agent.asked] == ["/pairs?from=3", "/pairs?from=8"]
+
+    run(main())
