Settings and bounds change in a running node, whole or not at all; requests keep theirs

Need: so far a running node took over discovery's address and its sockets alone; every class, worth, limit or count of nodes needed a restart, and a fleet of them a rolling one.

Change: the module takes the event Configured: what follows from settings is made anew, what was learned stays where it still means the same (rates by the strength of the pool, the baseline as a share of the new aims), and anything that raises puts it back. tier and zone are refused. Node.configure, Upstream.configure and Relay.configure carry it on; SIGHUP uses it. A request that is open keeps its class, attempts, cancels and second copies. The fleet's cordons are a set of their own beside those by hand. Figures of a class that is gone are kept, a bounded number of them. A long answer that is handed over goes on also where its class is no more: gone on with in the same process it would have been cut off. What a process with other aims had learned is scaled by them. config.operator.tuned makes settings and bounds of a node's file under a document for all nodes.

Mended on the way: a server whose start lies ahead of this clock, with cold_ms 0, had the module divide by zero; `inf` in the operator's TOML passed for a time; a whole number past a float's range ended a start with a traceback.

--- a/rosewheel/config/operator.py
+++ b/rosewheel/config/operator.py
@@ -8,19 +8,19 @@
 
 import os
 from collections.abc import Mapping
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 import msgspec
 from msgspec import Meta
 
 from rosewheel.config import platform
-from rosewheel.config.checked import KeyedError, ProblemsError, read
+from rosewheel.config.checked import KeyedError, ProblemsError, convert, read
 from rosewheel.config.platform import VARIABLES, Address, Config, ConfigError, parse_address
 from rosewheel.decide.interface import Effect, Scope, ServiceClass, Settings, Tenant
 from rosewheel.node.bounds import Bounds
 
-Natural = Annotated[float, Meta(ge=0)]
-Positive = Annotated[float, Meta(gt=0)]
+Natural = Annotated[float, Meta(ge=0, lt=1e15)]  # TOML has an `inf`, for which no timer can be set
+Positive = Annotated[float, Meta(gt=0, lt=1e15)]
 Count = Annotated[int, Meta(ge=1)]
 Share = Annotated[float, Meta(ge=0, le=1)]
 Text = Annotated[str, Meta(min_length=1)]
@@ -178,6 +178,18 @@
             connect_ms=self.limits.connect_timeout_ms,
         )
 
+    def bounds(self) -> Bounds:
+        return Bounds(
+            conn_idle_ms=self.limits.connection_idle_ms,
+            connect_timeout_ms=self.limits.connect_timeout_ms,
+            drain_grace_ms=self.routing.drain_grace_ms,
+            max_open=self.limits.max_open,
+            second_copies=self.routing.second_copies,
+            may_probe=self.routing.probes,
+            sockets=platform.descriptors(self.limits.sockets),
+            memory_mb=self.limits.memory_mb,
+        )
+
 
 def load(path: str, environ: Mapping[str, str] = os.environ, again: bool = False) -> Config:
     """The node's configuration, or a ConfigError that says in one line what is wrong with it first. When it is
@@ -199,16 +211,7 @@
         discovery=_address(given, "discovery"),
         seed=int(told.node.seed, 16) if told.node.seed else int.from_bytes(os.urandom(8), "big"),
         settings=told.settings(),
-        bounds=Bounds(
-            conn_idle_ms=told.limits.connection_idle_ms,
-            connect_timeout_ms=told.limits.connect_timeout_ms,
-            drain_grace_ms=told.routing.drain_grace_ms,
-            max_open=told.limits.max_open,
-            second_copies=told.routing.second_copies,
-            may_probe=told.routing.probes,
-            sockets=platform.descriptors(told.limits.sockets),
-            memory_mb=told.limits.memory_mb,
-        ),
+        bounds=told.bounds(),
         known={"seq": 0, "hosts": [_known(row) for row in told.discovery.known]},
         ops=_address(given, "ops") if given["ops"] else None,
         inherited=platform.descriptor(environ.get("LB_INHERITED_FD")),
@@ -216,6 +219,61 @@
     )
 
 
+# What one document for all nodes may set: each of these tables key by key, each of these lists as a whole.
+TUNED_TABLES, TUNED_LISTS = ("limits", "routing"), ("class", "tenant")
+# But not where a node stands, nor what its machine has: these stay those of its own file.
+OWN = {"limits": ("memory_mb", "sockets"), "routing": ("zone", "tier")}
+# What a document is checked by where no node's own file is at hand.
+ANY_NODE = {"node": {"listen": "127.0.0.1:1"}, "discovery": {"address": "127.0.0.1:1"}}
+
+
+def tuned(base: Operator | Mapping[str, Any], document: Any) -> tuple[Settings, Bounds]:
+    """The settings and bounds of a node with this file of its own under a document for all nodes: the file's tables
+    `limits`, `routing`, `class` and `tenant`, and `cordons`. What the document leaves out is as the file has it. The
+    file may be given as plain tables, also without those that every file needs. Raises ValueError: one plain line
+    that begins with the key."""
+    cordons(document)
+    rows: dict[str, Any] = msgspec.to_builtins(base) if isinstance(base, Operator) else {**ANY_NODE, **base}
+    for key, value in document.items():
+        if key in TUNED_TABLES:
+            if not isinstance(value, dict):
+                raise ValueError(f"{key}: not a table")
+            for own in OWN[key]:
+                if own in value:
+                    raise ValueError(f"{key}.{own}: is each node's own, and not the document's to set")
+            rows[key] = {**_table(rows.get(key)), **value}
+        elif key in TUNED_LISTS:
+            rows[key] = value
+        elif key in Operator.__struct_encode_fields__:
+            raise ValueError(f"{key}: is each node's own, and not the document's to set")
+        elif key != "cordons":
+            raise ValueError(" ".join(f"{key}: unknown key".split()))
+    try:
+        told = convert(rows, Operator, "")
+    except ProblemsError as error:
+        raise ValueError(_one_line(error)) from error
+    return told.settings(), told.bounds()
+
+
+def cordons(document: Any) -> frozenset[str]:
+    """The servers that a document for all nodes takes out. ValueError as of `tuned`."""
+    if not isinstance(document, dict):
+        raise ValueError("document: not a table")
+    names = document.get("cordons", [])
+    if not isinstance(names, list) or not all(isinstance(name, str) and name for name in names):
+        raise ValueError("cordons: not a list of equipos' names")
+    return frozenset(names)
+
+
+def _table(value: Any) -> dict[str, Any]:
+    return value if isinstance(value, dict) else {}
+
+
+def _one_line(error: ProblemsError) -> str:
+    more = len(error.problems) - 1
+    return str(error.problems[0]) + (f" (and {more} more)" if more else "")
+
+
 def _address(given: Mapping[str, str], key: str) -> Address:
     try:
         return parse_address(given[key])
--- a/rosewheel/decide/interface.py
+++ b/rosewheel/decide/interface.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import math
+import sys
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
@@ -130,7 +131,8 @@
 
 def _within(key: str, value: object, low: float, high: float = math.inf) -> None:
     good = isinstance(value, int | float) and not isinstance(value, bool) and low <= value <= high
-    if not good or not math.isfinite(float(value)):  # type: ignore[arg-type]
+    # A whole number may be past all that a float holds; as one it would raise something else.
+    if not good or value > sys.float_info.max:  # type: ignore[operator]
         raise ValueError(f"{key}: {value!r} is not a number from {low} to {high}")
 
 
@@ -245,8 +247,17 @@
     loads: dict[str, float]
 
 
+@dataclass(slots=True)
+class Configured:
+    """Other settings hold from now on; requests that are held keep those under which they were taken. Raises
+    ValueError that names the key where a running balancer can't take them, and nothing has changed then."""
+
+    settings: Settings
+
+
 Event = (
     Membership
+    | Configured
     | Moved
     | Cordon
     | Company
--- a/rosewheel/decide/learned.py
+++ b/rosewheel/decide/learned.py
@@ -19,6 +19,7 @@
 CURSOR_MS = 3_000.0  # pace of the cursor: it answers to the load of this moment
 RATE_MS = 15_000.0  # pace of rates
 SERVER_MS = 8_000.0  # pace of what is known of one server
+OTHER_AIM = 100.0  # an aim that changed by more than so many times is that of another class
 SAME_START_MS = 1_000.0  # two processes read one start time on clocks that they compare each for itself
 CLOCKS_AGREE_MS = (
     5_000.0  # two clocks that tell ages this far apart: one of them was set, or the machine started anew
@@ -46,6 +47,7 @@
 
     servers: dict[str, LearnedServer] = field(default_factory=dict)
     class_ms: dict[str, float] = field(default_factory=dict)
+    aims: dict[str, float] = field(default_factory=dict)  # of the classes, in ms; empty: those of today
     base: float | None = None
     level: float = 0.0
     outcomes: int = 0  # that the baseline rests on
@@ -62,6 +64,14 @@
     return 0.0 if not 0.0 <= age_ms <= OLDEST_MS else math.exp(-age_ms / pace_ms)
 
 
+def stretch(was: dict[str, float], now: dict[str, float]) -> float | None:
+    """By how much larger a share of its aim an answer takes, classes having had other aims; None where what
+    was learned as such shares means nothing any more. Where aims changed unlike, the most of them: a baseline
+    that is too high falls within seconds, one that is too low has a node shed for minutes."""
+    most = max((was[name] / aim for name, aim in now.items() if name in was), default=0.0)
+    return most if 1.0 / OTHER_AIM <= most <= OTHER_AIM else None
+
+
 def same_start(saved_ago_ms: float | None, age_ms: float, now_ago_ms: float | None) -> bool:
     """Whether a server is the process that it was: saved and seen now, it started at one moment."""
     if saved_ago_ms is None or now_ago_ms is None:
@@ -89,19 +99,23 @@
     servers = row.get("servers")
     if not isinstance(servers, dict):
         raise ValueError("servers is not an object")
-    figures = _figures(row, Learned, {"servers", "class_ms"})
-    class_ms = row.get("class_ms")
-    if not isinstance(class_ms, dict):
-        raise ValueError("class_ms is not an object")
+    figures = _figures(row, Learned, {"servers", "class_ms", "aims"})
     return Learned(
         servers={
             str(name): LearnedServer(**_figures(one, LearnedServer, set())) for name, one in servers.items()
         },
-        class_ms={str(name): _figure(name, value) for name, value in class_ms.items()},
+        class_ms=_by_class("class_ms", row.get("class_ms")),
+        aims=_by_class("aims", row.get("aims", {})),
         **figures,
     )
 
 
+def _by_class(key: str, row: Any) -> dict[str, float]:
+    if not isinstance(row, dict):
+        raise ValueError(f"{key} is not an object")
+    return {str(name): _figure(name, value) for name, value in row.items()}
+
+
 def _figures(row: Any, kind: type[Learned] | type[LearnedServer], apart: set[str]) -> dict[str, Any]:
     if not isinstance(row, dict):
         raise ValueError("not an object")
--- a/rosewheel/decide/policy.py
+++ b/rosewheel/decide/policy.py
@@ -20,6 +20,7 @@
     Learned,
     LearnedServer,
     same_start,
+    stretch,
     weight,
 )
 from rosewheel.decide.learned import RATE_MS as RATES_FADE_MS
@@ -96,6 +97,7 @@
 SHY_MAX_MS = 4000.0  # the longest such time: lists are late by more, but it may have been full and no more
 SHY = 100.0  # what its rank counts for meanwhile
 STRENGTH_MS = 3000.0  # what a weaker pool completes was sent in part while it was stronger: for about so long
+MOST_PERIODS = 1e9  # that are counted where periods become shorter
 AIM_MARGIN = 0.98  # attempts worth nothing late are given up at this share of the aim
 
 
@@ -122,6 +124,7 @@
 
     request: api.Request
     kind: api.ServiceClass
+    cfg: api.Settings  # those under which it was taken
     taken_ms: float
     units: float  # its weight in the queue
     tries: list[_Try] = field(default_factory=list)
@@ -148,6 +151,18 @@
     return peer.info.zone, peer.info.cell if kind.scope is api.Scope.CELL else -1
 
 
+def _buckets(settings: api.Settings, now: float, old: dict[str, _Bucket] | None = None) -> dict[str, _Bucket]:
+    """A tenant that is new begins with all of a second's share; one that had a bucket with what was in it."""
+    buckets = {}
+    for tenant in settings.tenants:
+        share = tenant.quota_per_s / settings.siblings
+        was = (old or {}).get(tenant.name) or _Bucket(share, share, now)
+        # What it earned up to now it earned at the old share.
+        tokens = min(was.quota, was.tokens + was.quota * (now - was.then) / 1000.0)
+        buckets[tenant.name] = _Bucket(share, min(share, tokens), now)
+    return buckets
+
+
 def _ago(now: float, then: float | None) -> float | None:
     return None if then is None or then == -math.inf else max(0.0, now - then)
 
@@ -158,11 +173,9 @@
 
 class Balancer:
     def __init__(self, settings: api.Settings, seed: int, now_ms: float) -> None:
-        self.cfg = settings
+        self._take(settings)
         self.rng = Random(seed)
-        self.kinds = {kind.name: kind for kind in settings.classes}
-        self.period_ms = PERIOD * min(kind.aim_ms for kind in settings.classes)
-        self.top_worth = max(kind.worth for kind in settings.classes) or 1.0
+        self.period_ms = self.next_period_ms
         self.shape = [1.0] * FLAT + [STEP**step for step in range(1, STEPS + 1)]
         self.cursor = 0
         self.pool = Pool(settings.zone, settings.cold_ms)
@@ -170,7 +183,6 @@
         self.large = False  # the pool is more than what is looked at as a whole
         self.stale_ms = STALE_MS
         self.beside: set[str] = set()  # servers where other processes of this node have calls in flight
-        self.far = ZONE_WEIGHT * settings.cross_zone_price
         self.processes = 1  # of this node, each with a balancer; only during an upgrade more
         self.started = False
         self.watch_failures = 0
@@ -184,22 +196,31 @@
         self.erring = self.usual = 0.0  # smoothed share of errors, and the part of it that no shedding lowers
         self.rate = self.peak = 0.0  # completed units per ms
         # Of many nodes: rates are per warm server, and the pool counts as so many of those, now and of late.
-        self.many = settings.tier == 0 and settings.siblings > FEW
-        self.part = FEW / settings.siblings if self.many else 1.0
         self.strength = self.lately = 1.0
         self.counted = 0  # periods since the first in which something was completed
         self.mean_aim = sum(kind.aim_ms for kind in settings.classes) / len(settings.classes)
         self.mean_hint = 0.0
         self.class_ms: dict[str, float] = {}
         self.asked = self.asked_rate = 0.0  # what was asked for in this period; its smoothed rate per ms
-        shares = {tenant.name: tenant.quota_per_s / settings.siblings for tenant in settings.tenants}
-        self.buckets = {name: _Bucket(share, share, now_ms) for name, share in shares.items()}
+        self.buckets = _buckets(settings, now_ms)
+
+    def _take(self, settings: api.Settings) -> None:
+        """What follows from the settings alone."""
+        self.cfg = settings
+        self.kinds = {kind.name: kind for kind in settings.classes}
+        self.next_period_ms = PERIOD * min(kind.aim_ms for kind in settings.classes)
+        self.top_worth = max(kind.worth for kind in settings.classes) or 1.0
+        self.far = ZONE_WEIGHT * settings.cross_zone_price
+        self.many = settings.tier == 0 and settings.siblings > FEW
+        self.part = FEW / settings.siblings if self.many else 1.0
 
     @property
     def peers(self) -> dict[str, Peer]:
         return self.pool.peers
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.Configured):
+            return self._on_configured(now, event.settings)
         if isinstance(event, api.Request):  # before any state is touched
             if event.service not in self.kinds:
                 raise ValueError(f"service: {event.service!r} is not a class of the settings")
@@ -216,8 +237,13 @@
         elif isinstance(event, api.Outcome):
             self._on_outcome(now, event, acts)
         elif isinstance(event, api.Alarm) and event.name == "period":
-            acts.append(api.Wake(self.period_ms, "period"))
             self._on_period(now)
+            if self.period_ms != self.next_period_ms:  # only now: rates of the one that ran are by its length
+                longer = self.period_ms / self.next_period_ms
+                self.periods = math.ceil(min(MOST_PERIODS, self.periods * longer))
+                self.counted = math.ceil(min(MOST_PERIODS, self.counted * longer))
+                self.period_ms = self.next_period_ms
+            acts.append(api.Wake(self.period_ms, "period"))
         elif isinstance(event, api.Alarm) and event.name == "watch":
             if self.watch_due:  # Guard: an alarm that a move has overtaken would break off the watch there
                 self.watch_due = False
@@ -257,6 +283,68 @@
             self._hear(now, event.server, event.report)
         return acts
 
+    # -------------------------------------------------------------- settings
+
+    def _on_configured(self, now: float, new: api.Settings) -> list[api.Action]:
+        """All of the change or, where anything raises, nothing of it."""
+        if new == self.cfg:
+            return []
+        for key in ("tier", "zone"):  # what was learned is of another pool then, and a machine does not move
+            if getattr(new, key) != getattr(self.cfg, key):
+                raise ValueError(f"{key}: {getattr(new, key)!r} would need a new start of this node")
+        kept, drawn = dict(self.__dict__), self.rng.getstate()
+        try:
+            return self._configure(now, new)
+        except Exception:
+            self.__dict__.update(kept)
+            self.rng.setstate(drawn)
+            raise
+
+    def _configure(self, now: float, new: api.Settings) -> list[api.Action]:
+        """Attributes are replaced and what they hold is left as it is, but for the peers at the end."""
+        old, old_aims, many, total = self.cfg, self._aims(), self.many, self.strength
+        self._take(new)
+        self.buckets = _buckets(new, now, self.buckets)
+        self.class_ms = {name: ms for name, ms in self.class_ms.items() if name in self.kinds}
+        self._rescale(stretch(old_aims, self._aims()))
+        if self.many is not many:
+            self.strength = self.lately = self._strength(now) if self.many else 1.0
+            self.rate, self.peak = (figure * total / self.strength for figure in (self.rate, self.peak))
+            self._count_periods(1.0 if self.rate > 0.0 else 0.0)
+        acts: list[api.Action] = []
+        if not self.started:
+            self.period_ms = self.next_period_ms
+        elif new.ask_discovery is not old.ask_discovery:
+            self.watch_failures, self.watch_due = 0, False
+            if new.ask_discovery:
+                acts.append(api.Watch())
+        if new.cold_ms != old.cold_ms:
+            self.pool.recool(new.cold_ms, now, lambda: self.rng.random() / self.processes)
+        if self.many is not many:
+            for peer in self.peers.values():  # shunned by the rule of the one, for good by that of the other
+                peer.turned, peer.shy_ms = 0, -math.inf
+        return acts
+
+    def _aims(self) -> dict[str, float]:
+        return {name: kind.aim_ms for name, kind in self.kinds.items()}
+
+    def _rescale(self, longer: float | None) -> None:
+        """Aims have changed: what was learned as a share of them is so many times as large."""
+        aims = [kind.aim_ms for kind in self.kinds.values()]
+        if longer is None:
+            self.base, self.level, self.learned_from, self.ratios = None, 0.0, 0, []
+            self.mean_aim = sum(aims) / len(aims)
+        elif longer != 1.0:
+            self.base = None if self.base is None else self.base * longer
+            self.level *= longer
+            self.ratios = [ratio * longer for ratio in self.ratios]
+            self.mean_aim = min(max(aims), max(min(aims), self.mean_aim / longer))
+
+    def _count_periods(self, share: float) -> None:
+        """Behind a rate that is known already are the periods that one is smoothed over, or a share."""
+        if self.many:
+            self.counted = int(share * LONGER * RATE_MS / self.period_ms)
+
     # --------------------------------------------------------------- company
 
     def loads(self) -> dict[str, float]:
@@ -291,6 +379,7 @@
                 for address, peer in self.peers.items()
             },
             class_ms=dict(self.class_ms),
+            aims=self._aims(),
             base=self.base,
             level=self.level,
             outcomes=self.learned_from,
@@ -324,17 +413,18 @@
             if was.returned_ago_ms is not None:
                 peer.returned_ms = then - was.returned_ago_ms
         lasting, fleeting = weight(age_ms, POOL_MS), weight(age_ms, RATES_FADE_MS)
-        if old.base is not None and self.base is None and lasting > 0.1:
+        longer = stretch(old.aims, self._aims()) if old.aims else 1.0  # that process may have had other aims
+        if old.base is not None and self.base is None and lasting > 0.1 and longer is not None:
             # The fewer outcomes it is taken to rest on, the sooner new ones replace it.
-            self.base = self.level = old.base
+            self.base = self.level = old.base * longer
             self.learned_from = int(min(LEARN, old.outcomes) * lasting)
             self.class_ms = {name: ms for name, ms in old.class_ms.items() if name in self.kinds and ms > 0.0}
-            self.level += (old.level - old.base) * weight(age_ms, CURSOR_MS)
+            self.level += (old.level - old.base) * longer * weight(age_ms, CURSOR_MS)
         self.cursor = min(len(self.shape) - 1, int(old.cursor * weight(age_ms, CURSOR_MS)))
         self.rate, self.peak = (figure * fleeting / self.strength for figure in (old.rate, old.peak))
         self.asked_rate = old.asked_rate * fleeting
-        if self.many and old.rate > 0.0:  # as many periods are behind these as a rate is smoothed over
-            self.counted = int(fleeting * LONGER * RATE_MS / self.period_ms)
+        if old.rate > 0.0:
+            self._count_periods(fleeting)
         self.erring, self.usual = old.erring * fleeting, min(1.0, old.usual) * fleeting
         return known
 
@@ -433,7 +523,7 @@
             self.mean_hint += (hint - self.mean_hint) * (CLASS_GAIN if self.mean_hint else 1.0)
             units = min(4.0, max(0.25, hint / self.mean_hint))
         self.asked += units
-        job = self.jobs[request.id] = _Job(request, kind, now, units)
+        job = self.jobs[request.id] = _Job(request, kind, self.cfg, now, units)
         ready = self.pool.ready
         load = sum(peer.load for peer in ready) if len(ready) <= WHOLE else self.pool.load
         # Guard: where few calls are in flight an entry lies between two counts, and whole ones cannot shed a
@@ -509,7 +599,7 @@
         """The least share of its capacity that a server has by now, as stated: 1 once it is warm."""
         cold_ms = self.cfg.cold_ms
         left = peer.cold_until(cold_ms) - now
-        return 1.0 - (1.0 - self.cfg.cold_from) * min(1.0, left / cold_ms) if left > 0.0 else 1.0
+        return 1.0 - (1.0 - self.cfg.cold_from) * min(1.0, left / cold_ms) if left > 0.0 < cold_ms else 1.0
 
     def _strength(self, now: float) -> float:
         """The pool in warm servers: a cold one by its stated share, a failing one by what it serves."""
@@ -528,7 +618,7 @@
         if job.kind.late_worth <= 0.0 and not job.kind.stream:
             # Guard: late work is worth nothing, so it is stopped at the aim and does not crowd out the rest.
             left = min(left, job.taken_ms + job.kind.aim_ms * AIM_MARGIN - then)
-        if job.done or not left > 1.0 or len(job.tries) >= self.cfg.max_attempts:
+        if job.done or not left > 1.0 or len(job.tries) >= job.cfg.max_attempts:
             return False
         peer = self._pick(now, job)
         if peer is None:
@@ -584,8 +674,8 @@
         ran = job.may_have_run()
         if not ran or job.kind.effect is api.Effect.SAFE:
             wait = 0.0
-            if self.cfg.retry_after and self.cfg.tier == 0:
-                wait = min(self.cfg.max_retry_after_ms, self.period_ms * self.cursor)
+            if job.cfg.retry_after and job.cfg.tier == 0:
+                wait = min(job.cfg.max_retry_after_ms, self.period_ms * self.cursor)
             acts.append(api.Refuse(job.request.id, wait))
         else:
             acts.append(api.Fail(job.request.id))
@@ -599,7 +689,7 @@
             self.jobs.pop(job.request.id, None)
 
     def _cancel_others(self, job: _Job, keep: int, acts: list[api.Action]) -> None:
-        if self.cfg.may_cancel and not (job.streaming and keep < 0):
+        if job.cfg.may_cancel and not (job.streaming and keep < 0):
             out = (at for at, item in enumerate(job.tries) if item.result is None and at != keep)
             acts.extend(api.Cancel(job.request.id, at) for at in out)
 
@@ -634,17 +724,21 @@
             return
         peer.errs += GAIN * ((result is not api.Result.OK) - peer.errs)
         if result in (api.Result.OK, api.Result.TIMEOUT):  # a fast error must not look fast
-            self.ratios.append(event.latency_ms / job.kind.aim_ms)
+            # By the class as it is now, also where this one was taken under another aim: what is learned has
+            # to be shares of one aim.
+            self.ratios.append(event.latency_ms / self.kinds.get(job.kind.name, job.kind).aim_ms)
             mean = self.class_ms.get(job.kind.name)
             if result is api.Result.OK:
                 mean = event.latency_ms if mean is None else mean + CLASS_GAIN * (event.latency_ms - mean)
-                self.class_ms[job.kind.name] = mean
+                if job.kind.name in self.kinds:
+                    self.class_ms[job.kind.name] = mean
             ratio = event.latency_ms / mean if mean else 1.0
             peer.slow = ratio if peer.slow is None else peer.slow + GAIN * (ratio - peer.slow)
             peer.heard_ms = now
         if result is api.Result.OK:
             self.completed += job.units
-            self.mean_aim += CLASS_GAIN * (job.kind.aim_ms - self.mean_aim)
+            aim_ms = self.kinds.get(job.kind.name, job.kind).aim_ms
+            self.mean_aim += CLASS_GAIN * (aim_ms - self.mean_aim)
 
     # ------------------------------------------------------------- pool load
 
--- a/rosewheel/decide/pool.py
+++ b/rosewheel/decide/pool.py
@@ -161,6 +161,19 @@
         else:
             self._look_again(peer, now)
 
+    def recool(self, cold_ms: float, now: float, first: Callable[[], float]) -> None:
+        """Servers are cold for another time from now on. One that is so again begins with a first credit,
+        like a new one: what it was sent while warm is no debt."""
+        was, peers = self.cold_ms, self.peers.values()
+        credits = {peer: first() for peer in peers if peer.cold_until(was) <= now < peer.cold_until(cold_ms)}
+        self.cold_ms = cold_ms
+        for peer in peers:
+            if peer in credits:
+                peer.credit, peer.paced_ms = credits[peer], now
+            if peer.ready:
+                self._out(peer)
+                self.settle(peer, now)
+
     def _out(self, peer: Peer) -> None:
         if not peer.ready:
             return
--- a/rosewheel/handover/moves.py
+++ b/rosewheel/handover/moves.py
@@ -147,8 +147,7 @@
             return "no room"
         if item.kind == EQUIPO and not relay.upstream.wants(item.state):
             return "no use for it"
-        known = item.kind != PASSAGE or item.state["service"] in relay.node.classes
-        if not known or (item.kind == PASSAGE and item.state["id"] in relay.node.open):
+        if item.kind == PASSAGE and item.state["id"] in relay.node.open:
             return "its request can't be open here"
         return ""
 
@@ -186,7 +185,7 @@
         relay, state = self.relay, item.state
         id = str(state["id"])
         caller = self._caller(state["caller"], item.held, kept)
-        if not relay.node.adopt(time.monotonic() * 1000.0, id, state["service"], state["server"]):
+        if not relay.node.adopt(time.monotonic() * 1000.0, id, str(state["service"]), state["server"]):
             raise ValueError(f"{id} is open here already")
         conn: equipos.Connection | None = None
 
--- a/rosewheel/http/equipos.py
+++ b/rosewheel/http/equipos.py
@@ -62,6 +62,11 @@
         self.loop = asyncio.get_running_loop()
         self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
+    def configure(self, bounds: Bounds, crowds: bool) -> None:
+        """These hold from now on; a connection that is coming up keeps the time that it had for that."""
+        self.bounds = bounds
+        self.rest.configure(bounds.conn_idle_ms / 1000.0, crowds)
+
     # ----------------------------------------------------------------- servers
 
     def update(self, entries: list[tuple[Server, Address]], whole: bool) -> None:
--- a/rosewheel/node/core.py
+++ b/rosewheel/node/core.py
@@ -10,7 +10,7 @@
 import heapq
 import logging
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from rosewheel.decide.interface import (
     Action,
@@ -19,6 +19,7 @@
     Beside,
     Cancel,
     Company,
+    Configured,
     Cordon,
     Event,
     Fail,
@@ -44,6 +45,7 @@
 from rosewheel.decide.policy import Balancer
 from rosewheel.node.bounds import Bounds
 from rosewheel.node.figures import Ended, Figures
+from rosewheel.node.open import Attempt, Open
 
 log = logging.getLogger("rosewheel.node")
 
@@ -101,36 +103,13 @@
 Effect = Dispatch | Abort | Answer | StartWatch | StartProbe
 
 
-@dataclass(slots=True)
-class _Attempt:
-    server: str
-    sent_ms: float
-    timeout_ms: float = 0.0
-    began_ms: float | None = None  # when its answer began to be passed on
-    result: Result | None = None  # None: still out
-
-
-@dataclass(slots=True)
-class _Open:
-    service: str
-    give_up_ms: float
-    attempts: list[_Attempt] = field(default_factory=list)
-    over: bool = False  # answered, or the client has gone
-    whole: bool = True  # its last byte has come, and its deadline is known
-    spent: bool = False  # a part of it is no longer here, so it can't be sent again
-    begun: int | None = None  # the attempt whose answer is being passed on
-
-    def out(self) -> bool:
-        return any(item.result is None for item in self.attempts)
-
-
 class Node:
     def __init__(self, settings: Settings, bounds: Bounds, seed: int, now: float) -> None:
         self.settings, self.bounds = settings, bounds
         self.balancer = Balancer(settings, seed, now)
         self.servers: dict[str, ServerState] = {}
         self.cordoned: set[str] = set()  # taken out by hand; also ids that the list does not name just now
-        self.open: dict[str, _Open] = {}
+        self.open: dict[str, Open] = {}
         self.classes = frozenset(item.name for item in settings.classes)
         self.figures = Figures(item.name for item in settings.classes)
         self._unanswered = 0
@@ -166,7 +145,10 @@
         if self._unanswered >= self.bounds.max_open:
             self.figures.ended(request.service, Ended.SHED)
             return [Answer(request.id, REFUSED)]  # the module never sees it, so it is never sent
-        self.open[request.id] = _Open(request.service, request.give_up_at_ms, whole=request.whole)
+        most, copies = self.settings.max_attempts, self.bounds.second_copies
+        self.open[request.id] = Open(
+            request.service, request.give_up_at_ms, most, copies, whole=request.whole
+        )
         self._unanswered += 1
         if request.whole:
             self._timer(request.give_up_at_ms + BACKSTOP_MS, "backstop", request.id)
@@ -215,13 +197,39 @@
         self._finish(id, entry)
         return self._run(now)
 
+    def configure(self, now: float, settings: Settings, bounds: Bounds) -> list[Effect]:
+        """These hold from now on, but for requests that are open: they keep their class, its effect and deadlines, the
+        attempts that they may have, and whether these may overlap or be taken back. Raises ValueError that names the
+        key where they can't hold in a running node; nothing has changed then. The same ones again change nothing."""
+        try:
+            actions = self.balancer.handle(now, Configured(settings))
+        except ValueError:
+            raise
+        except Exception as error:
+            log.exception("the module failed on other settings")
+            why = f"a fault of the module: {type(error).__name__}: {error}"
+            raise ValueError(f"settings: {why}") from error
+        self.settings, self.bounds = settings, bounds
+        self.classes = frozenset(item.name for item in settings.classes)
+        self.figures.configure(item.name for item in settings.classes)
+        for action in actions:
+            self._act(now, action)
+        return self._run(now)
+
+    def longest_ms(self, now: float) -> float:
+        """How long an answer can still be owed: the longest patience of the classes, or more where a request was
+        taken under another one."""
+        open_ms = (entry.give_up_ms - now for entry in self.open.values() if not entry.over and entry.whole)
+        return max(max(kind.give_up_ms for kind in self.settings.classes), max(open_ms, default=0.0))
+
     def adopt(self, now: float, id: str, service: str, server: str) -> bool:
         """The other side of it: from here on this is attempt 0 of that request, which the module never hears of.
-        False where it can't be: the id is open here already, or there is no such class."""
-        if id in self.open or service not in self.classes:
+        Its class may be one that this process never had, or has no more. False where the id is open here already."""
+        if id in self.open:
             return False
-        attempt = _Attempt(server, now, began_ms=now)
-        self.open[id] = _Open(service, now, attempts=[attempt], begun=0)
+        self.figures.keep(service)
+        attempt = Attempt(server, now, began_ms=now)
+        self.open[id] = Open(service, now, attempts=[attempt], begun=0)
         self._unanswered += 1
         return True
 
@@ -377,12 +385,12 @@
             return
         number = len(entry.attempts)
         left = entry.give_up_ms - now if entry.whole else action.timeout_ms or entry.give_up_ms - now
-        may = not entry.over and left > 0 and number < self.settings.max_attempts
+        may = not entry.over and left > 0 and number < entry.most
         may = may and not entry.spent and entry.begun is None
         may = may and self._may_send(action.server)
-        may = may and (self.bounds.second_copies or not entry.out())
+        may = may and (entry.copies or not entry.out())
         timeout = min(left, action.timeout_ms) if action.timeout_ms else left
-        entry.attempts.append(_Attempt(action.server, now, timeout))
+        entry.attempts.append(Attempt(action.server, now, timeout))
         if not may:
             self._settle(now, action.id, number, Result.MOOT)
             return
@@ -425,7 +433,7 @@
         self.figures.ended(entry.service, how)
         self._finish(id, entry)
 
-    def _finish(self, id: str, entry: _Open) -> None:
+    def _finish(self, id: str, entry: Open) -> None:
         entry.over = True
         self._unanswered -= 1
         if not entry.out():
@@ -442,7 +450,7 @@
         self._give_up(now, id, entry)
         return self._run(now, Lapsed(id))
 
-    def _give_up(self, now: float, id: str, entry: _Open) -> None:
+    def _give_up(self, now: float, id: str, entry: Open) -> None:
         """Answer without the module: a refusal only if nothing of the request can have run."""
         ran = any(item.result is None or not item.result.never_ran for item in entry.attempts)
         self._answer(id, Answer(id, BROKEN if ran else REFUSED))
--- a/rosewheel/node/figures.py
+++ b/rosewheel/node/figures.py
@@ -26,12 +26,37 @@
     errors: int = 0
 
 
+GONE = 64  # classes that are no more, whose counts are kept; Guards memory where names change all the time
+
+
 class Figures:
-    """Counts from the start of the process. Classes are those of the settings, so there are only so many."""
+    """Counts from the start of the process. Classes are those of the settings, and the last that were, since what was
+    taken under one is still to end; so there are only so many."""
 
     def __init__(self, classes: Iterable[str]) -> None:
-        self.classes = {name: _Counts() for name in classes}
+        self.classes: dict[str, _Counts] = {}
         self.tries = 0
+        self._known: frozenset[str] = frozenset()
+        self.configure(classes)
+
+    def configure(self, classes: Iterable[str]) -> None:
+        """There are these from now on. One that comes back goes on counting where it was."""
+        here = {name: self.classes.get(name) or _Counts() for name in classes}
+        gone = {name: counts for name, counts in self.classes.items() if name not in here}
+        self._known = frozenset(here)
+        self.classes = {**here, **gone}  # the longest gone last
+        self._forget()
+
+    def keep(self, service: str) -> None:
+        """One request of this class is here, whether or not there is such a class."""
+        if service not in self.classes:
+            known = {name: counts for name, counts in self.classes.items() if name in self._known}
+            self.classes = {**known, service: _Counts()} | self.classes
+            self._forget()
+
+    def _forget(self) -> None:
+        while len(self.classes) > len(self._known) + GONE:
+            self.classes.popitem()
 
     def ended(self, service: str | None, how: Ended) -> None:
         counts = self.classes.get(service or "")
--- a/rosewheel/node/rest.py
+++ b/rosewheel/node/rest.py
@@ -28,6 +28,12 @@
         self.kept_s = math.inf  # one that has rested for longer is given back, by what refusals have taught
         self.refused_s = -math.inf  # the same of these
 
+    def configure(self, idle_s: float, crowds: bool) -> None:
+        """Of the same process with another configuration: what was taught stays, but for what no longer applies."""
+        self.longest_s, self.crowds = idle_s * IDLE_SHARE, crowds
+        if not crowds:
+            self.kept_s = math.inf
+
     @property
     def limit_s(self) -> float:
         """A connection that has rested for so long is closed."""
--- a/rosewheel/ops/door.py
+++ b/rosewheel/ops/door.py
@@ -62,6 +62,9 @@
     async def uncordon(self, member: str) -> bool:
         """Let it serve again; the same otherwise."""
 
+    def out_by_fleet(self, member: str) -> bool:
+        """Whether the fleet has taken it out, whatever is said by hand."""
+
 
 async def _health(desk: Desk, _member: str) -> Reply:
     return Reply(200, {"serving": True}) if desk.serving() else Reply(503, {"serving": False})
@@ -78,7 +81,11 @@
 
 async def _uncordon(desk: Desk, member: str) -> Reply:
     known = await desk.uncordon(member)
-    return Reply(200, {"member": member, "cordoned": False}) if known else _unknown(member)
+    if not known:
+        return _unknown(member)
+    if desk.out_by_fleet(member):  # Guards operators: it does not serve yet
+        return Reply(200, {"member": member, "cordoned": True, "by": "fleet"})
+    return Reply(200, {"member": member, "cordoned": False})
 
 
 def _unknown(member: str) -> Reply:
--- a/rosewheel/relay/relay.py
+++ b/rosewheel/relay/relay.py
@@ -9,14 +9,13 @@
 import logging
 import math
 import random
-import re
 import socket
 import time
 from collections.abc import Callable
 from typing import Any
 
-from rosewheel.config.platform import Config
-from rosewheel.decide.interface import ListForm, Request, Result
+from rosewheel.config.platform import Config, ConfigError
+from rosewheel.decide.interface import ListForm, Request, Result, Settings
 from rosewheel.decide.learned import Learned
 from rosewheel.decide.policy import FEW
 from rosewheel.discovery.catalog import SILENCE_PUSHED_S, SILENCE_S, Discovery, Entry, entries_from
@@ -29,6 +28,7 @@
 from rosewheel.http.connection import Sink
 from rosewheel.http.equipos import Upstream
 from rosewheel.listener import bind, open_listener
+from rosewheel.node.bounds import Bounds
 from rosewheel.node.core import (
     SERVED,
     Abort,
@@ -43,6 +43,8 @@
 from rosewheel.node.figures import Ended
 from rosewheel.ops import door as admin
 from rosewheel.ops.door import Admin
+from rosewheel.relay.cordons import Cordons
+from rosewheel.relay.headers import DECIMAL, WHOLE, figure
 from rosewheel.relay.snapshots import Snapshots
 from rosewheel.relay.state import State
 
@@ -69,8 +71,6 @@
 REWATCH_PART, REWATCH_MOST_PART = 8.0, 3.0
 REWATCH_LEAST_S = 0.02  # Guards the processor, whatever a drain allows
 METHODS = (b"GET", b"POST")
-WHOLE = re.compile("[0-9]{1,7}")  # in ms: some hours, far past every class's patience
-DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
 def now_ms() -> float:
@@ -85,7 +85,8 @@
         self.processes = 1  # of this node, while one takes over from another
         self.theirs: int | None = None  # descriptors that an old process still holds, which gives them up
         self.taking_over = config.inherited is not None  # callers come by a socket that another has too
-        self.state = State(config.state, self._shared, self._company, config.inherited is not None)
+        self.cordons = Cordons(self._cordon)
+        self.state = State(config.state, self.cordons.hand, self._company, config.inherited is not None)
         self.node = Node(config.settings, config.bounds, config.seed, now_ms())
         self.upstream = Upstream(
             config.bounds,
@@ -185,14 +186,14 @@
         return self.node.learned(now_ms()), self.upstream.rest.usable_s
 
     def reload(self, config: Config) -> None:
-        """Take over what may change while the node runs: the address of discovery, and the limits."""
+        """Take over what may change while the node runs: the address of discovery, settings and bounds. Raises
+        ConfigError where something else would have to; all stays as it was then."""
+        try:
+            self.configure(config.settings, config.bounds)
+        except ValueError as error:
+            raise ConfigError(str(error)) from error
         moved = config.discovery != self.config.discovery
-        self.config = dataclasses.replace(
-            self.config,
-            discovery=config.discovery,
-            bounds=dataclasses.replace(self.config.bounds, sockets=config.bounds.sockets),
-        )
-        self._share(config.bounds.sockets)
+        self.config = dataclasses.replace(self.config, discovery=config.discovery)
         log.info("the configuration was read again, discovery at %s:%d", *config.discovery)
         if not moved or self.stopped:
             return
@@ -201,11 +202,28 @@
         if not self.config.settings.ask_discovery:
             self.discovery.watch()
 
+    def configure(self, settings: Settings, bounds: Bounds) -> None:
+        """These hold from now on, but for requests that are taken already. Raises ValueError that names the key where
+        they can't; all stays as it was then. The same ones again change nothing."""
+        was = self.config
+        if settings == was.settings and bounds == was.bounds:
+            return
+        effects = self.node.configure(now_ms(), settings, bounds)  # before anything else: it alone may refuse
+        self.config = dataclasses.replace(was, settings=settings, bounds=bounds)
+        self.upstream.configure(bounds, crowds=settings.siblings > FEW)
+        self._share(bounds.sockets)
+        self._shrink()
+        self.discovery.silence_s = SILENCE_S if settings.ask_discovery else SILENCE_PUSHED_S
+        self.apply(effects)
+        log.info("another configuration holds from now on, %d classes", len(settings.classes))
+        pushed = was.settings.ask_discovery and not settings.ask_discovery
+        if pushed and not self.discovery.open and not self.stopped:  # the module asks no more
+            self.discovery.watch()
+
     async def drain(self) -> None:
         self.snapshots.close()  # a process that follows writes its own from now on
         given = self.handover.leave()
-        classes = self.config.settings.classes
-        longest_ms = min(LONGEST_MS, max(kind.give_up_ms for kind in classes))
+        longest_ms = min(LONGEST_MS, self.node.longest_ms(now_ms()))
         await self.server.drain(longest_ms / 1000.0, self.taking_over or given, self._give if given else None)
         self.stopped = True
         self.handover.close()
@@ -282,6 +300,13 @@
     def figures(self) -> dict[str, Any]:
         return self.node.figures.report(self.node.active, len(self.node.servers), self.node.avoided)
 
+    def fleet_cordons(self, members: frozenset[str]) -> None:
+        """The fleet has taken these out, and no others. What is out by hand stays so, whatever the fleet says."""
+        self.cordons.fleet(members)
+
+    def out_by_fleet(self, member: str) -> bool:
+        return member in self.cordons.by_fleet
+
     async def cordon(self, member: str) -> bool:
         return await self._by_hand(member, out=True)
 
@@ -291,24 +316,13 @@
     async def _by_hand(self, member: str, out: bool) -> bool:
         if not self.node.knows(member):
             return False
-        self._cordon(member, out)  # here at once; whatever comes of the file, it holds in this process
-        await self.state.put(member, out)
-        self._cordon(member, out)  # again: meanwhile the file may have been read as it was before
+        await self.cordons.put(member, out, self.state)
         return True
 
     def _cordon(self, member: str, out: bool) -> None:
-        if out is not (member in self.node.cordoned):
-            log.info("%s %s", member, "is taken out by hand" if out else "may serve again")
         self.upstream.cordon(member, out)
         self.apply(self.node.cordon(now_ms(), member, out))
 
-    def _shared(self, cordoned: frozenset[str]) -> None:
-        """What another process of this node, or the one before it, has been told."""
-        for member in self.node.cordoned - cordoned:
-            self._cordon(member, out=False)
-        for member in sorted(cordoned - self.node.cordoned):
-            self._cordon(member, out=True)
-
     def _company(self, processes: int) -> None:
         """While an old and a new process of one node overlap, they share its descriptors."""
         self.processes = processes
@@ -317,6 +331,10 @@
         # One that leaves is still here, but sends nothing new.
         self.apply(self.node.company(now_ms(), processes if self.theirs is None else 1))
         self._share(self.config.bounds.sockets)
+        self._shrink()
+
+    def _shrink(self) -> None:
+        """Give up what is idle past what this process may hold; what is in use stays until it is not."""
         while self.descriptors > self.most:
             if not (self.server.close_idle() or self.upstream.close_idle()):
                 break
@@ -341,7 +359,7 @@
             raise BadRequestError(400, "Request-Id is missing or too long")
         if service not in self.node.classes:
             raise BadRequestError(400, "Request-Class is missing or unknown")
-        timeout = _figure(call.header(b"request-timeout-ms"), "Request-Timeout-Ms", WHOLE)
+        timeout = figure(call.header(b"request-timeout-ms"), "Request-Timeout-Ms", WHOLE)
         if timeout is None or timeout <= 0:
             raise BadRequestError(400, "Request-Timeout-Ms is missing or not positive")
         self.longest_ms = max(self.longest_ms, min(timeout, LONGEST_MS))
@@ -349,7 +367,7 @@
             self.node.figures.ended(service, Ended.SHED)
             raise BadRequestError(503, "this node stops before the answer could be there")
         call.patience_ms = timeout
-        hint = _figure(call.header(b"work-hint"), "Work-Hint", DECIMAL)
+        hint = figure(call.header(b"work-hint"), "Work-Hint", DECIMAL)
         return Request(
             id=id,
             service=service,
@@ -427,6 +445,8 @@
         self.apply(self.node.members(now_ms(), form, servers))
 
     def _rewatch(self) -> None:
+        if self.config.settings.ask_discovery:  # they were pushed when this was set; now the module asks
+            return
         if not self.discovery.open and not self.stopped:  # a move may have been quicker
             self.discovery.watch()
 
@@ -480,12 +500,3 @@
         self._armed = due
         # Upward to the loop's whole milliseconds: a timer that is early would only come again at once.
         self._timer = self.loop.call_later(max(0, math.ceil(due - now_ms())) / 1000.0, self._tick)
-
-
-def _figure(text: str | None, name: str, form: re.Pattern[str]) -> float | None:
-    """A header's figure. Not all that `float` takes is one: `1_0`, `nan`, `1e9` or other scripts' digits."""
-    if text is None:
-        return None
-    if not form.fullmatch(text):
-        raise BadRequestError(400, f"{name} is not a number in range")
-    return float(text)
--- a/rosewheel/relay/state.py
+++ b/rosewheel/relay/state.py
@@ -81,7 +81,7 @@
         """Take down that this server is out, or no longer. OSError where that can't be kept. Returns once
         another process that serves this node has had the time to act on it."""
         if self.folder is None:
-            self.cordoned = _changed(self.cordoned, member, out)
+            self.cordoned = changed(self.cordoned, member, out)
             return
         deadline = asyncio.get_running_loop().time() + LOCK_S
         while True:
@@ -89,7 +89,7 @@
                 with _locked(self.folder / "state.lock"):
                     held = self._read()
                     # Where the file is damaged or gone, what this process knows is the best there is.
-                    cordoned = _changed(self.cordoned if held is None else held, member, out)
+                    cordoned = changed(self.cordoned if held is None else held, member, out)
                     self._write(cordoned)
                     self.cordoned, self._stamp = cordoned, self._look()
                 break
@@ -179,7 +179,7 @@
         os.close(descriptor)
 
 
-def _changed(cordoned: frozenset[str], member: str, out: bool) -> frozenset[str]:
+def changed(cordoned: frozenset[str], member: str, out: bool) -> frozenset[str]:
     return cordoned | {member} if out else cordoned - {member}
 
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -22,6 +22,7 @@
     def __init__(self) -> None:
         self.up = True
         self.out = False
+        self.fleet: set[str] = set()
         self.fails: Exception | None = None
 
     def serving(self) -> bool:
@@ -36,6 +37,9 @@
     async def uncordon(self, member: str) -> bool:
         return self._set(member, False)
 
+    def out_by_fleet(self, member: str) -> bool:
+        return member in self.fleet
+
     def _set(self, member: str, out: bool) -> bool:
         if self.fails is not None:
             raise self.fails
