--- a/rosewheel/handover/service.py
+++ b/rosewheel/handover/service.py
@@ -8,6 +8,7 @@
 import socket
 from typing import Any
 
+from rosewheel.config.platform import Address
 from rosewheel.handover import wire
 from rosewheel.handover.giver import Giver
 from rosewheel.handover.link import Link, connect, drop, listen, own_peer
@@ -53,8 +54,19 @@
         self._beside()
         return True
 
-    async def borrow(self) -> list[int]:
-        """The listening sockets of the process before this one, that of its door included, if it lends them."""
+    async def borrow(self, *wanted: Address | None) -> list[socket.socket | None]:
+        """The listening sockets of the process before this one, that of its door included, if it lends them: for each
+        address that is wanted the one that is bound there, or None."""
+        found: list[socket.socket | None] = [None] * len(wanted)
+        for sock in [socket.socket(fileno=fd) for fd in await self._borrow()]:
+            at = wanted.index(address) if (address := sock.getsockname()[:2]) in wanted else -1
+            if at < 0:
+                sock.close()
+            else:
+                found[at] = sock
+        return found
+
+    async def _borrow(self) -> list[int]:
         if self.before is None:
             return []
         self._lent = self.loop.create_future()
