--- a/tests/test_rewatch.py
+++ b/tests/test_rewatch.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator, Callable
 from unittest import mock
 
+import orjson
 import pytest
 from helpers import Bed, settings
 from hypothesis import given
@@ -183,7 +184,7 @@
     """A discovery on one port that dies and comes back, each time with other manners."""
 
     def __init__(self) -> None:
-        self.manners = "served"
+        self.manners, self.host, self.dial = "served", "new", "127.0.0.1:9"
         self.asked = self.port = 0
         self.writers: list[asyncio.StreamWriter] = []
         self.server: asyncio.Server | None = None
@@ -208,7 +209,8 @@
         self.writers.append(writer)
         self.asked += 1
         if self.manners != "mute":
-            line = b'{"seq":9,"whole":true,"hosts":[{"host":"new","dial":"127.0.0.1:9","health":"active"}]}\n'
+            row = {"host": self.host, "dial": self.dial, "health": "active"}
+            line = orjson.dumps({"seq": 9, "whole": True, "hosts": [row]}) + b"\n"
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n" % len(line))
             writer.write(line + b"\r\n" if self.manners == "served" else line[:30])
         if self.manners == "dies":
