--- a/rosewheel/decide/policy.py
+++ b/rosewheel/decide/policy.py
@@ -321,7 +321,7 @@
         elif new.ask_discovery is not old.ask_discovery:
             self.watch_failures, self.watch_due = 0, False
             if new.ask_discovery:
-                acts.append(api.Watch())
+                self._watch(now, acts)
         if new.cold_ms != old.cold_ms:
             self.pool.recool(new.cold_ms, now, lambda: self.rng.random() / self.processes)
         if self.many is not many:
--- a/rosewheel/relay/relay.py
+++ b/rosewheel/relay/relay.py
@@ -205,7 +205,6 @@
         self.upstream.configure(bounds, crowds=settings.siblings > FEW)
         self._share(bounds.sockets)
         self._shrink()
-        self.discovery.silence_s = SILENCE_S if settings.ask_discovery else SILENCE_PUSHED_S
         self.apply(effects)
         log.info("another configuration holds from now on, %d classes", len(settings.classes))
         pushed = was.settings.ask_discovery and not settings.ask_discovery
