A change of the configuration on the sockets and as a document: tests, and what they found

Found: a key like `]` in a TOML file or a document had the search for its line run for ever; what was laid over a typed file was refused for its tuples. A connection's time to come up is now told with its attempt, since another configuration may hold when it begins. What only a start takes over (name, listen, ops, state) is said at a reload.

--- a/rosewheel/config/checked.py
+++ b/rosewheel/config/checked.py
@@ -184,5 +184,6 @@
         for place in (key, f"{key}[0]"):
             if place in lines:
                 return lines[place]
-        key = re.sub(r"(\[\d+\]|\.?[^.\[\]]+)$", "", key)
+        shorter = re.sub(r"(\[\d+\]|\.?[^.\[\]]+)$", "", key)
+        key = "" if shorter == key else shorter  # Guards against a key like `]`, of which nothing comes off
     return None
--- a/rosewheel/config/operator.py
+++ b/rosewheel/config/operator.py
@@ -233,7 +233,7 @@
     file may be given as plain tables, also without those that every file needs. Raises ValueError: one plain line
     that begins with the key."""
     cordons(document)
-    rows: dict[str, Any] = msgspec.to_builtins(base) if isinstance(base, Operator) else {**ANY_NODE, **base}
+    rows: dict[str, Any] = {**ANY_NODE, **(_plain(base) if isinstance(base, Operator) else base)}
     for key, value in document.items():
         if key in TUNED_TABLES:
             if not isinstance(value, dict):
@@ -247,7 +247,7 @@
         elif key in Operator.__struct_encode_fields__:
             raise ValueError(f"{key}: is each node's own, and not the document's to set")
         elif key != "cordons":
-            raise ValueError(" ".join(f"{key}: unknown key".split()))
+            raise ValueError(" ".join(str(key).split()) + ": unknown key")
     try:
         told = convert(rows, Operator, "")
     except ProblemsError as error:
@@ -265,6 +265,11 @@
     return frozenset(names)
 
 
+def _plain(told: Operator) -> dict[str, Any]:
+    rows: dict[str, Any] = msgspec.json.decode(msgspec.json.encode(told))
+    return rows
+
+
 def _table(value: Any) -> dict[str, Any]:
     return value if isinstance(value, dict) else {}
 
--- a/rosewheel/http/equipos.py
+++ b/rosewheel/http/equipos.py
@@ -194,9 +194,11 @@
                 conn.send(exchange)
                 return
             conn.close()
-        exchange.task = self.loop.create_task(self._open(host, exchange))
+        # Told now: when it begins another configuration may hold, under which a repeat might come too late.
+        connect_s = self.bounds.connect_timeout_ms / 1000.0
+        exchange.task = self.loop.create_task(self._open(host, exchange, connect_s))
 
-    async def _open(self, host: str, exchange: Exchange) -> None:
+    async def _open(self, host: str, exchange: Exchange, connect_s: float) -> None:
         pool = self.pools.get(host)
         if pool is None or not self._open_to(host) or not self.make_room():
             exchange.done(Result.CONNECT_FAILED, None, b"")
@@ -204,7 +206,7 @@
         dial, conn, made = pool.dial, Connection(self, pool), False
         self.coming += 1
         try:
-            async with asyncio.timeout(self.bounds.connect_timeout_ms / 1000.0):
+            async with asyncio.timeout(connect_s):
                 await self.loop.create_connection(lambda: conn, *dial)
             # Guards the drain: the server may have left, or moved, while the connection came up.
             same = self.pools.get(host) is pool and pool.dial == dial
--- a/rosewheel/relay/relay.py
+++ b/rosewheel/relay/relay.py
@@ -71,6 +71,7 @@
 REWATCH_PART, REWATCH_MOST_PART = 8.0, 3.0
 REWATCH_LEAST_S = 0.02  # Guards the processor, whatever a drain allows
 METHODS = (b"GET", b"POST")
+FIXED = ("name", "listen", "ops", "state")  # what was bound and named at the start
 
 
 def now_ms() -> float:
@@ -192,6 +193,9 @@
             self.configure(config.settings, config.bounds)
         except ValueError as error:
             raise ConfigError(str(error)) from error
+        fixed = [key for key in FIXED if getattr(config, key) != getattr(self.config, key)]
+        if fixed:
+            log.warning("%s: only a new start of this node takes that over", ", ".join(fixed))
         moved = config.discovery != self.config.discovery
         self.config = dataclasses.replace(self.config, discovery=config.discovery)
         log.info("the configuration was read again, discovery at %s:%d", *config.discovery)
--- /dev/null
+++ b/tests/test_tuned.py
@@ -0,0 +1,115 @@
+"""One document for all nodes over a node's own file: what it may set, and one plain line where it can't be used."""
+
+from __future__ import annotations
+
+import json
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from test_scenario import OPERATOR
+
+from rosewheel.config import operator
+from rosewheel.config.checked import parse
+from rosewheel.config.operator import Operator, cordons, tuned
+from rosewheel.decide.interface import Tenant
+
+OWN = OPERATOR.replace(
+    "[routing]\n", '[limits]\nmax_open = 7\nsockets = 100\n[routing]\nzone = "a"\ntier = 1\n'
+)
+CLASS = {"name": "c", "aim_ms": 100, "give_up_ms": 200.0}
+DOCUMENT: dict[str, Any] = {
+    "limits": {"max_open": 9},
+    "routing": {"siblings": 30, "cancel": False},
+    "class": [CLASS],
+    "tenant": [{"name": "t", "quota_per_s": 4}],
+    "cordons": ["equipo-1"],
+}
+
+
+@pytest.mark.parametrize("base", [tomllib.loads(OWN), parse(OWN, Operator, "file")])
+def test_a_document_is_laid_over_the_nodes_own_file(base: Any):
+    settings, bounds = tuned(base, DOCUMENT)
+    assert [kind.name for kind in settings.classes] == ["c"]
+    assert settings.tenants == (Tenant("t", 4.0),)
+    assert (settings.siblings, settings.may_cancel) == (30, False)
+    assert (settings.zone, settings.tier, settings.cold_from) == ("a", 1, 0.2)  # the file's, and its own
+    assert (bounds.max_open, bounds.sockets) == (9, 100)
+    assert cordons(DOCUMENT) == {"equipo-1"}
+
+
+def test_an_empty_document_leaves_the_file_as_it_is(tmp_path: Path):
+    path = tmp_path / "node.toml"
+    path.write_text(OWN)
+    config = operator.load(str(path), {})
+    assert tuned(parse(OWN, Operator, "file"), {}) == (config.settings, config.bounds)
+    assert cordons({}) == frozenset()
+
+
+def test_a_document_is_checked_also_where_no_file_is_at_hand():
+    settings, _ = tuned({}, {"class": [CLASS]})
+    assert settings.siblings == 1
+
+
+@pytest.mark.parametrize(
+    ("document", "said"),
+    [
+        ([], "document: not a table"),
+        ({"node": {"listen": "127.0.0.1:1"}}, "node: is each node's own"),
+        ({"log": {}}, "log: is each node's own"),
+        ({"discovery": {"ask": True}}, "discovery: is each node's own"),
+        ({"routing": {"zone": "b"}}, "routing.zone: is each node's own"),
+        ({"routing": {"tier": 0}}, "routing.tier: is each node's own"),
+        ({"limits": {"sockets": 4096}}, "limits.sockets: is each node's own"),
+        ({"limits": {"memory_mb": 4096}}, "limits.memory_mb: is each node's own"),
+        ({"routing": 7}, "routing: not a table"),
+        ({"routing": {"sibling": 3}}, "routing.sibling: unknown key"),
+        ({"routing": {"siblings": "many"}}, "routing.siblings: Expected"),
+        ({"routing": {"siblings": 10**400}}, "siblings: "),
+        ({"rooting\n": {}}, "rooting: unknown key"),
+        ({3: {}}, "3: unknown key"),
+        ({"class": []}, "class: no class of requests"),
+        ({"class": {}}, "class: not a list of tables"),
+        ({"class": [CLASS, CLASS]}, "class: a name stands twice"),
+        ({"class": [CLASS | {"aim_ms": 900}]}, "class[0].aim_ms: an answer is wanted after"),
+        ({"class": [CLASS | {"give_up_ms": float("inf")}]}, "class[0].give_up_ms: Expected"),
+        ({"class": [CLASS | {"aim_ms": 0}], "routing": {"cancel": 3}}, "class[0].aim_ms: Expected"),
+        ({"tenant": [{"name": "t"}]}, "tenant[0].quota_per_s: missing"),
+        ({"cordons": "equipo-1"}, "cordons: not a list of equipos' names"),
+        ({"cordons": [""]}, "cordons: not a list of equipos' names"),
+    ],
+)
+def test_a_document_that_can_not_be_used_is_one_plain_line_with_the_key(document: Any, said: str):
+    with pytest.raises(ValueError, match=r".*") as caught:
+        tuned(tomllib.loads(OWN), document)
+    assert str(caught.value).startswith(said)
+    assert "\n" not in str(caught.value)
+
+
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner, max_size=3),
+    max_leaves=6,
+)
+KEYS = st.sampled_from(["limits", "routing", "class", "tenant", "cordons", "x"])
+
+
+@given(st.dictionaries(KEYS, VALUES) | VALUES, st.sampled_from(sorted(CLASS)), VALUES)
+def test_whatever_a_document_holds_it_is_used_or_refused_in_one_line(document: Any, key: str, value: Any):
+    for one in (
+        document,
+        {"class": [CLASS | {key: value}]},
+        {"routing": {"siblings": value, "cold_ms": value}},
+    ):
+        before = json.dumps(one, default=str)
+        said = "ok: used"
+        try:
+            tuned(tomllib.loads(OWN), one)
+        except ValueError as error:
+            said = str(error)
+        assert "\n" not in said
+        assert ": " in said
+        assert json.dumps(one, default=str) == before
