--- a/rosewheel/lab/emulator.py
+++ b/rosewheel/lab/emulator.py
@@ -72,9 +72,8 @@
         self.companions: dict[str, NodeProcess] = {}  # by equipo: its own node for the calls it makes
         self.peers: dict[str, Peer] = {}
         self.lags = array("f")
-        self.told: dict[
-            tuple[str, str], tuple[str, float]
-        ] = {}  # (node, equipo): last heard health, and when
+        # (node, equipo): last heard health, when, and the start it was told of (0: none)
+        self.told: dict[tuple[str, str], tuple[str, float, int]] = {}
         self.unready: list[str] = []
         self.served = [0] * len(plan.scenario.tiers)
         self._noise = stream(plan.seed, "run", "noise")
@@ -163,10 +162,14 @@
     ) -> None:
         spec, (address, port) = host.spec, host.address
         entry = Entry(spec.name, f"{address}:{port}", spec.zone, spec.cell, health)
-        if born and host.model.started_ms > 0:
-            entry.born_ms = int(host.model.started_ms + self._epoch_ms)
+        if born:
+            entry.born_ms = self._born(host)
         self.registries[spec.tier].set(entry, change, at_once)
 
+    def _born(self, host: Host) -> int:
+        """Its start as the list tells it, in ms of the epoch; 0 of those that ran from the first."""
+        return int(host.model.started_ms + self._epoch_ms) if host.model.started_ms > 0.0 else 0
+
     def _companion(self, host: Host) -> asyncio.Task[None] | None:
         """The node through which this equipo calls the next tier."""
         tier = host.spec.tier + 1
@@ -213,7 +216,7 @@
         return Registry(delay, self._told)
 
     def _told(self, node: str, host: str, entry: Entry, at: float) -> None:
-        self.told[(node, host)] = (entry.health, at)
+        self.told[(node, host)] = (entry.health, at, entry.born_ms)
         self.records.write(
             {"e": "told", "t": self._t(at), "node": node, "equipo": host, "health": entry.health}
         )
@@ -245,9 +248,9 @@
         key = asked.header(b"idempotency-key") if table.effect == "keyed" else ""
         node = asked.header(b"lab-node")
         # A caller may only be held to the start that it has been told of; without a name it was told.
-        health = self.told.get((node, spec.name), ("active", 0.0))[0]
+        health, _, born = self.told.get((node, spec.name), ("active", 0.0, 0))
         job = model.Job(self._next, work_ms, f"{service}/{key}" if key else None, table.memory_ms)
-        job.told = not node or (node, spec.name) in self.told
+        job.told = not node or born == self._born(host) > 0
         op = asked.header(b"lab-op") or rid
         work = Work(host, asked, job, service, node, op, asked.came_ms + patience, total)
         self.work[job.id] = work
@@ -258,7 +261,7 @@
     def _late(self, work: Work) -> None:
         """Something new has come to an equipo of which its node had been told that it drains or is gone."""
         rules = self.plan.scenario.rules
-        health, at = self.told[(work.node, work.host.spec.name)]
+        health, at, _ = self.told[(work.node, work.host.spec.name)]
         over = work.asked.first_ms - at - rules.drain_ms - rules.slack_ms
         if over > 0.0:
             row = {"e": "late", "t": self._t(), "node": work.node, "equipo": work.host.spec.name}
@@ -392,13 +395,17 @@
             for name in step.equipos:
                 self._task(self._launch(self.plan.spec(name)))
 
+    def _restart(self, host: Host) -> None:
+        host.restart()
+        self.records.write(rows.started(self.plan, host.spec, self._t(host.model.started_ms)))
+
     async def _launch(self, spec: model.Spec) -> None:
         """A new equipo: its node first, then it takes work and the list is told."""
         host = self._host(spec, cold=True)
         wait = self._companion(host)
         if wait is not None:
             await wait
-        host.restart()  # its warming counts from when it can be asked
+        self._restart(host)  # its warming counts from when it can be asked
         await host.listen()
         self._list(host, "add")
 
@@ -444,7 +451,7 @@
         wait = self._companion(host)
         if wait is not None:
             await wait
-        host.restart()
+        self._restart(host)
         await host.accept_again()
         self._list(host, "add")
 
--- a/rosewheel/lab/ledger.py
+++ b/rosewheel/lab/ledger.py
@@ -1,4 +1,5 @@
-"""The rules, read off a run's records: one final answer, nothing unsafe twice, drains kept, nothing cold tipped.
+"""The rules, read off a run's records: one final answer, nothing unsafe twice, drains kept, nothing cold tipped or
+sent more than the settings allow.
 
 Records of clients and of equipos are joined by request id and by the identity of what a client wished. A ledger takes
 one record at a time, in whatever order the two sides come, and keeps of each only what a later one may need; it decides
@@ -15,6 +16,7 @@
 from rosewheel.lab.records import read
 from rosewheel.lab.retry import REFUSALS, SLACK_MS
 from rosewheel.lab.scenario import Scenario
+from rosewheel.lab.slow_start import Overload, SlowStart
 
 TOLD_SHARE = 2.0 / 3.0  # of the load that tipped a cold equipo, from those who knew: then the nodes did it
 SHOWN = 20  # of each kind
@@ -31,10 +33,12 @@
     strayed: list[str] = field(default_factory=list)  # a keyed repeat outside the grupo of the first
     late: list[dict[str, Any]] = field(default_factory=list)  # new work to an equipo that drains
     tipped: list[str] = field(default_factory=list)  # a cold equipo pushed over by those who knew
+    # the first overload of a cold equipo by those who knew, by `slow_start.py`
+    overloaded: list[dict[str, Any]] = field(default_factory=list)
 
     def count(self) -> int:
         lists = (self.unanswered, self.foreign, self.twice, self.strayed, self.late, self.tipped)
-        return self.double + sum(len(item) for item in lists)
+        return self.double + sum(len(item) for item in (*lists, self.overloaded))
 
     def row(self) -> dict[str, Any]:
         return {
@@ -45,6 +49,7 @@
             "strayed": self.strayed[:SHOWN],
             "late": self.late[:SHOWN],
             "tipped": self.tipped[:SHOWN],
+            "overloaded": self.overloaded[:SHOWN],
         }
 
 
@@ -60,9 +65,14 @@
 
 class Ledger:
     def __init__(self, scenario: Scenario) -> None:
+        self.rules = scenario.rules
         self.effects = {row.name: row.effect for row in scenario.classes}
         self.narrow = any(row.effect == "keyed" and row.group == "cell" for row in scenario.classes)
         self.fell = 0  # cold equipos pushed over, by whomever
+        self.overloads: list[Overload] = []  # of cold equipos, by whomever
+        self.cold_most = 0.0  # the largest part of its bound that any cold equipo was sent
+        self._starts: dict[str, list[SlowStart]] = {}
+        self._means: dict[str, float] = {}  # ms of work of a mean request, where a start was recorded
         self._broken = Broken()
         self._silent: list[_Silence] = []
         self._killed: dict[str, list[float]] = defaultdict(list)
@@ -77,8 +87,17 @@
             case "op":
                 for item in row["tries"]:
                     self._answers(item)
-            case "job" if row["ran"]:
-                self._job(row)
+            case "started":
+                start = SlowStart(row["equipo"], row["t"], row["work_per_ms"] / row["mean_ms"])
+                self._starts.setdefault(row["equipo"], []).append(start)
+                self._means[row["equipo"]] = row["mean_ms"]
+            case "job":
+                if row["ran"]:
+                    self._job(row)
+                starts = self._starts.get(row["equipo"])
+                if starts and row["came"] >= starts[-1].at_ms:
+                    size = row["work"] / self._means[row["equipo"]]
+                    starts[-1].sent.append((row["came"], size, row["told"]))
             case "killed":
                 # A node that was killed owes nothing; what it had taken is its clients' to repeat.
                 self._killed[row["node"]].append(row["t"])
@@ -102,6 +121,13 @@
         # What a client sent once more itself, because its node was killed with it, no node can have kept together.
         if self.narrow:
             self._broken.strayed = [rid for rid in self._astray if rid not in self._resent]
+        for start in (start for starts in self._starts.values() for start in starts):
+            found, most = start.overloads(self.rules)
+            self.overloads += found
+            self.cold_most = max(self.cold_most, most)
+            if found and found[0].told_share > TOLD_SHARE:
+                self._broken.overloaded.append(found[0].row())
+        self._starts.clear()
         self._silent.clear()
         self._ran.clear()
         return self._broken
--- a/rosewheel/lab/load.py
+++ b/rosewheel/lab/load.py
@@ -19,7 +19,7 @@
 from rosewheel.lab.records import Writer
 from rosewheel.lab.retry import SLACK_MS, Verdict, wait_ms
 from rosewheel.lab.scenario import ClassTable
-from rosewheel.lab.streams import stream
+from rosewheel.lab.streams import dealt, stream
 from rosewheel.lab.wire import Address, Answered, Asking, Peer, now_ms
 
 HEALTH_S = 0.1  # how often the front looks after its nodes
@@ -192,8 +192,8 @@
         return round(at - self.t0, 1)
 
     def pick(self) -> str:
-        choices = self.front.choices()
-        return choices[int(self.random.integers(len(choices)))]
+        nodes = self.plan.scenario.nodes
+        return dealt(self.random, self.front.choices(), nodes.share if nodes.shares else None)
 
     def later(self, wait_ms: float, what: Callable[[], None]) -> None:
         def run() -> None:
--- a/rosewheel/lab/rows.py
+++ b/rosewheel/lab/rows.py
@@ -5,6 +5,8 @@
 from typing import Any
 
 from rosewheel.lab import equipo as model
+from rosewheel.lab.plan import Plan
+from rosewheel.lab.slow_start import mean_work_ms
 
 
 def job(
@@ -32,12 +34,25 @@
         "rid": rid,
         "came": came,
         "verdict": verdict,
+        "work": round(sum(one.work), 3),
+        "told": one.told,
         "ran": one.effect,
         "wanted": wanted,
         "over": over,
     }
 
 
+def started(plan: Plan, spec: model.Spec, t: float) -> dict[str, Any]:
+    """An equipo that starts cold: what it can do once it is warm, and what a mean request takes there."""
+    return {
+        "e": "started",
+        "t": t,
+        "equipo": spec.name,
+        "work_per_ms": spec.cores * spec.speed,
+        "mean_ms": mean_work_ms(plan, spec.tier),
+    }
+
+
 def sample(name: str, one: model.Equipo, t: float) -> dict[str, Any]:
     """An equipo as it stands, its model brought up to now."""
     return {
--- a/rosewheel/lab/scenario.py
+++ b/rosewheel/lab/scenario.py
@@ -185,6 +185,7 @@
 
 class NodesTable(Table, frozen=True, kw_only=True):
     count: Count = 2
+    shares: tuple[Positive, ...] = ()  # of the clients, dealt to the first nodes; each of the others counts 1
     notice_ms: Range = (1100.0, 3700.0)  # until clients learn that a node is dead, or back
     memory_mb: Positive = 192.0
     sockets: Annotated[int, Meta(ge=64)] = 1024
@@ -200,6 +201,13 @@
 
     def __post_init__(self) -> None:
         self._ordered("notice_ms")
+        if len(self.shares) > self.count:
+            raise KeyedError("shares", f"{len(self.shares)} shares for {self.count} nodes")
+
+    def share(self, name: str) -> float:
+        """What this node of the front counts when clients are dealt out."""
+        number = int(name[1:])
+        return self.shares[number] if number < len(self.shares) else 1.0
 
 
 class DiscoveryTable(Table, frozen=True, kw_only=True):
--- a/rosewheel/lab/streams.py
+++ b/rosewheel/lab/streams.py
@@ -8,6 +8,9 @@
 
 import hashlib
 import math
+from bisect import bisect_right
+from collections.abc import Callable, Sequence
+from itertools import accumulate
 
 import numpy as np
 
@@ -19,6 +22,15 @@
     return np.random.Generator(np.random.PCG64(int.from_bytes(digest, "big")))
 
 
+def dealt(rng: np.random.Generator, names: Sequence[str], share: Callable[[str], float] | None) -> str:
+    """One of these, each as likely as its share; as likely as any other where there are no shares."""
+    place = float(rng.random())
+    if share is None:
+        return names[int(place * len(names))]
+    sums = list(accumulate(share(name) for name in names))
+    return names[min(len(names) - 1, bisect_right(sums, place * sums[-1]))]
+
+
 def lognormal(rng: np.random.Generator, cv: float) -> float:
     """A factor with mean 1 and this coefficient of variation."""
     if cv <= 0.0:
--- a/rosewheel/lab/virtual/clients.py
+++ b/rosewheel/lab/virtual/clients.py
@@ -8,7 +8,7 @@
 from rosewheel.lab.plan import Arrival, Plan
 from rosewheel.lab.retry import SLACK_MS, Verdict, wait_ms
 from rosewheel.lab.scenario import ClassTable
-from rosewheel.lab.streams import stream
+from rosewheel.lab.streams import dealt, stream
 from rosewheel.lab.virtual.events import Queue, Row
 from rosewheel.lab.virtual.node import Call, VirtualNode
 
@@ -116,8 +116,8 @@
         return self._at >= len(self.plan.arrivals) and self.open == 0
 
     def pick(self) -> str:
-        choices = self.front.choices()
-        return choices[int(self.random.random() * len(choices))]
+        nodes = self.plan.scenario.nodes
+        return dealt(self.random, self.front.choices(), nodes.share if nodes.shares else None)
 
     def _next(self) -> None:
         arrival = self.plan.arrivals[self._at]
--- a/rosewheel/lab/virtual/discovery.py
+++ b/rosewheel/lab/virtual/discovery.py
@@ -78,7 +78,7 @@
         """A node that begins with the list as it is now."""
         self.agents[node] = agent = Agent(self.queue, node, self.truth, self._told)
         for entry in agent.entries.values():  # told anew, whatever the process before it had heard
-            if self.heard_before(node.name, entry.address):
+            if entry.launched_ms is not None or self.heard_before(node.name, entry.address):
                 self._told(node.name, entry)
         node.heard(ListForm.CACHED, tuple(agent.entries.values()))
 
--- a/rosewheel/lab/virtual/simulate.py
+++ b/rosewheel/lab/virtual/simulate.py
@@ -145,6 +145,8 @@
             "tries": tally.tries,
             "swing": None if swing is None else round(swing, 3),
             "fell": self.ledger.fell,
+            "overloads": len(self.ledger.overloads),
+            "cold_most": round(self.ledger.cold_most, 3),
             "tiers": of_tiers(self.world),
             "rules": broken.row(),
             "crashed": [],
--- a/rosewheel/lab/virtual/world.py
+++ b/rosewheel/lab/virtual/world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -40,7 +41,8 @@
         self.grupos: dict[tuple[int, int], list[Host]] = {}
         self.tables = {row.name: row for row in scenario.classes}
         self.figures = {row.name: row for row in plan.classes}
-        self.told: dict[tuple[str, str], tuple[ServerState, float]] = {}
+        # by node and equipo: its state and start as last told, and when
+        self.told: dict[tuple[str, str], tuple[ServerState, float, float | None]] = {}
         self.results: list[Counter[Result]] = [Counter() for _ in scenario.tiers]  # of attempts, by tier
         self.sent = [0] * len(scenario.tiers)  # requests that came to equipos
         self.served = [0] * len(scenario.tiers)
@@ -116,7 +118,7 @@
             self.companions[spec.name] = self._node(f"n-{spec.name}", tier, siblings)
 
     def _told(self, node: str, entry: Server) -> None:
-        self.told[node, entry.address] = (entry.state, self.queue.now)
+        self.told[node, entry.address] = (entry.state, self.queue.now, entry.launched_ms)
         health = entry.state.value
         self.write(
             "equipos", {"e": "told", "t": self.t(), "node": node, "equipo": entry.address, "health": health}
@@ -137,12 +139,22 @@
         self.sent[spec.tier] += 1
         key = f"{call.service}/{call.key}" if table.effect == "keyed" else None
         told = self.told.get((link.node.name, spec.name))
-        job = model.Job(self._next, work, key, table.memory_ms, told=told is not None)
+        job = model.Job(
+            self._next, work, key, table.memory_ms, told=told is not None and told[2] == self._start(host)
+        )
         if told is not None and told[0] is not ServerState.UP:
             self._late(host, link, call, told)
         return Work(host, link, exchange, job, self.queue.now, self.queue.now + exchange.timeout_ms)
 
-    def _late(self, host: Host, link: Link, call: Call, told: tuple[ServerState, float]) -> None:
+    @staticmethod
+    def _start(host: Host) -> float | None:
+        """As the list tells it: nothing of those that ran from the first."""
+        started = host.model.started_ms
+        return started if math.isfinite(started) else None
+
+    def _late(
+        self, host: Host, link: Link, call: Call, told: tuple[ServerState, float, float | None]
+    ) -> None:
         """Something new has come to an equipo of which its node had been told that it drains or is gone."""
         rules = self.plan.scenario.rules
         over = self.queue.now - told[1] - rules.drain_ms - rules.slack_ms
@@ -309,6 +321,7 @@
         spec = host.spec
         self._companion(spec)
         host.start()
+        self.write("equipos", rows.started(self.plan, spec, self.t()))
         self.registries[spec.tier].set(
             Server(spec.name, spec.zone, spec.cell, launched_ms=self.queue.now), "add"
         )
@@ -352,10 +365,8 @@
             self._launch(host)
         else:
             host.reappear()
-            started = host.model.started_ms if host.model.started_ms > 0.0 else None
-            self.registries[spec.tier].set(
-                Server(spec.name, spec.zone, spec.cell, launched_ms=started), "add"
-            )
+            entry = Server(spec.name, spec.zone, spec.cell, launched_ms=self._start(host))
+            self.registries[spec.tier].set(entry, "add")
 
     # ------------------------------------------------------- the front's nodes
 
