--- a/rosewheel/decide/policy.py
+++ b/rosewheel/decide/policy.py
@@ -79,14 +79,16 @@
 ZONE_WEIGHT = 64.0  # calls in the queue that a crossing of zones counts as, per unit of its price
 WATCH_MS = 250.0  # half the first wait before discovery is asked again; doubled at each failure
 WATCH_MAX_MS = 4000.0  # the longest such wait
-CREDIT_MAX = 2.0  # the most credit that a cold server saves up
-AT_ONCE = 4.0  # balancers that may send a server its first call just as it returns
+# What a cold server may be sent, as a part of its stated share of what a warm one completes. Slow servers
+# bear less than the mean, work varies by request, and the rule leaves two roots for both. Harm: a pool that is
+# replaced serves less while it warms.
+COLD_PART = 0.5
+COLD_KEEP = 0.5  # what it has earned and is not sent lapses after this part of `tip_after_ms`
+MOSTLY = 0.5  # the part of its strength with which a pool is warm enough to learn what a warm server does
+PEAK_LUCK = 1.5  # deviations by which the peak of a rate by few completions is taken to be luck
+AT_ONCE = 2.0  # balancers that may send a server its first call just as it returns
 # Past this many nodes before the first tier each sees too little by itself, and allowances of all add up.
 FEW = 4
-# What a cold server may be sent, over its stated share of what a warm one completes. That share is the least
-# of any server's and warms slowest: paced by it cold ones idle while the few warm ones choke. The rank finds
-# those that can't do so much, and the rule allows four times what a server can do.
-COLD_MORE = 2.0
 T1_SLACK_MANY = 0.15  # in place of T1_SLACK
 # What ROW_GAP grows to in a pool that does half of what it could. Of few calls in flight at each of many
 # nodes a tenth less is less than one: high worth was refused nearly as often as low.
@@ -185,8 +187,10 @@
         self.rate = self.peak = 0.0  # completed units per ms
         # Of many nodes: rates are per warm server, and the pool counts as so many of those, now and of late.
         self.many = settings.tier == 0 and settings.siblings > FEW
-        self.part = FEW / settings.siblings if self.many else 1.0
         self.strength = self.lately = 1.0
+        # In all tiers: units a ms that a warm server completes for this node, and periods that taught it.
+        self.able = self.able_peak = 0.0
+        self.able_periods = 0
         self.counted = 0  # periods since the first in which something was completed
         self.mean_aim = sum(kind.aim_ms for kind in settings.classes) / len(settings.classes)
         self.mean_hint = 0.0
@@ -265,7 +269,7 @@
 
     def _on_company(self, event: api.Company) -> None:
         """Guard: to the servers the processes of one node are one. What a cold server may be sent is shared
-        out: here the credit that it has; what it earns later comes by what is asked of each."""
+        out: the credit that it has here, and in `_pace` what it earns later."""
         if event.processes > self.processes:
             for peer in self.peers.values():
                 peer.credit *= self.processes / event.processes
@@ -333,8 +337,10 @@
         self.cursor = min(len(self.shape) - 1, int(old.cursor * weight(age_ms, CURSOR_MS)))
         self.rate, self.peak = (figure * fleeting / self.strength for figure in (old.rate, old.peak))
         self.asked_rate = old.asked_rate * fleeting
-        if self.many and old.rate > 0.0:  # as many periods are behind these as a rate is smoothed over
-            self.counted = int(fleeting * LONGER * RATE_MS / self.period_ms)
+        strength = self._strength(now)
+        self.able, self.able_peak = (figure * fleeting / strength for figure in (old.rate, old.peak))
+        if old.rate > 0.0:  # as many periods are behind these as a rate is smoothed over
+            self.counted = self.able_periods = int(fleeting * LONGER * RATE_MS / self.period_ms)
         self.erring, self.usual = old.erring * fleeting, min(1.0, old.usual) * fleeting
         return known
 
@@ -489,21 +495,30 @@
 
     def _paced(self, now: float, peer: Peer) -> bool:
         """Guard: all balancers together must not push a cold server over. While it may be cold it earns
-        credit at its present share (from `cold_from`, even over `cold_ms`) of what is asked here for each
-        server; its first credit is drawn, so that many quiet balancers do not all send it a call at once."""
+        credit at its present share (from `cold_from`, even over `cold_ms`) of what a warm one completes for
+        this node, so that what all nodes allow adds up to what it can do, whatever part of the traffic each
+        has. Its first credit is drawn, so that many quiet balancers do not all send it a call at once."""
         warmth = self._warmth(now, peer)
         if warmth >= 1.0:
             return True
-        earned = warmth * self._pace() * (now - peer.paced_ms)
-        # Of many nodes' savings each has its part.
-        peer.credit, peer.paced_ms = min(1.0 + (CREDIT_MAX - 1.0) * self.part, peer.credit + earned), now
-        return peer.credit >= 1.0
+        pace = warmth * self._pace()
+        credit = peer.credit + pace * (now - peer.paced_ms)
+        if credit >= 1.0:
+            # Guard: what is not sent soon is not saved up. Thirty nodes with a call each for a server that
+            # was out, or had a queue, sent them all at one moment.
+            over = credit % 1.0
+            credit = over + (over <= pace * COLD_KEEP * self.cfg.tip_after_ms)
+        peer.credit, peer.paced_ms = credit, now
+        return credit >= 1.0
 
     def _pace(self) -> float:
         """The credit per ms that a warm server would earn."""
-        asked = self.asked_rate / max(1, len(self.pool.ready))
         # Guard: before anything is completed, as where all are cold, what is asked has to do.
-        return max(COLD_MORE * self.peak, asked) if self.many else asked
+        able = self.asked_rate / max(1, len(self.pool.ready))
+        if self.able_peak:
+            seen = min(STEADY, max(1.0, self.able * self.lately * RATE_MS * LONGER))
+            able = max(self.able, self.able_peak / (1.0 + PEAK_LUCK / math.sqrt(seen)))
+        return COLD_PART * able / self.processes
 
     def _warmth(self, now: float, peer: Peer) -> float:
         """The least share of its capacity that a server has by now, as stated: 1 once it is warm."""
@@ -694,19 +709,19 @@
             # Guard: in a quiet node most periods bring no outcome; counted as load 0 they undid every step.
             step = 1 if load > 1.0 else -1
             self.cursor = max(0, min(len(self.shape) - 1, self.cursor + step))
-        longer = 1.0
+        longer, strength = 1.0, self._strength(now)
+        fades = min(1.0, self.period_ms / STRENGTH_MS)
+        self.lately = max(strength, self.lately + fades * (strength - self.lately))
+        self._learn_able(strength)
         if self.many:
-            self.strength = self._strength(now)
-            fades = min(1.0, self.period_ms / STRENGTH_MS)
-            self.lately = max(self.strength, self.lately + fades * (self.strength - self.lately))
+            self.strength = strength
             self.completed /= self.lately
         if self.large or self.many:
             each = self.lately if self.many else 1.0
             longer = min(LONGER, max(1.0, STEADY / (self.rate * each * RATE_MS + 1e-9)))
         gain = min(1.0, self.period_ms / (RATE_MS * longer))
-        if (
-            self.many
-        ):  # Guard: a rate smoothed for so long, from nothing, had a node refuse after its first seconds
+        if self.many:
+            # Guard: a rate smoothed for so long, from nothing, had a node refuse after its first seconds
             self.counted += self.completed > 0.0 or self.counted > 0
             gain = max(gain, 1.0 / max(1, self.counted))
         self.rate += gain * (self.completed / self.period_ms - self.rate)
@@ -716,3 +731,16 @@
         self.periods += 1
         self.ratios, self.completed, self.ended, self.asked = [], 0.0, 0.0, 0.0
         self.full = self.errors = 0.0
+
+    def _learn_able(self, strength: float) -> None:
+        """What a warm server completes for this node, and of late at most."""
+        if strength < MOSTLY * len(self.pool.ready) or not (self.able_periods or self.completed):
+            # Guard: what cold servers complete is what they were sent. Learned from that it stayed as low as
+            # it was, and a pool that is all cold was never taken into use.
+            return
+        self.able_periods += 1
+        steady = min(LONGER, max(1.0, STEADY / (self.able * self.lately * RATE_MS + 1e-9)))
+        gain = max(min(1.0, self.period_ms / (RATE_MS * steady)), 1.0 / self.able_periods)
+        self.able += gain * (self.completed / self.lately / self.period_ms - self.able)
+        forgets = min(1.0, self.period_ms / (PEAK_MS * steady))
+        self.able_peak = max(self.able, self.able_peak * (1.0 - forgets))
--- /dev/null
+++ b/tests/test_slow_start.py
@@ -0,0 +1,166 @@
+"""Slow start: what all nodes together send a cold equipo, as it is counted and as it is kept."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import msgspec
+import numpy as np
+import pytest
+from helpers import Bed, sent, servers
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rosewheel.decide import interface as api
+from rosewheel.decide.policy import Balancer
+from rosewheel.lab import plan
+from rosewheel.lab.ledger import Broken, Ledger
+from rosewheel.lab.scenario import RulesTable, Scenario, load
+from rosewheel.lab.slow_start import SlowStart, allowance
+from rosewheel.lab.streams import dealt
+from rosewheel.lab.virtual.simulate import Simulation
+
+RULES = RulesTable(stated_cold_from=0.2, stated_cold_s=10.0, tip_ms=1500.0)
+SHORT = settings(max_examples=60, deadline=None, derandomize=True)
+
+# ------------------------------------------------------------------ the count
+
+
+@SHORT
+@given(st.floats(0.0, 10_000.0), st.floats(0.0, 3000.0))
+def test_what_is_allowed_is_the_sum_of_the_stated_share(until: float, length: float) -> None:
+    steps = np.linspace(max(0.0, until - length), until, 2001)
+    shares = 0.2 + 0.8 * steps / 10_000.0
+    assert allowance(RULES, until - length, until) == pytest.approx(np.trapezoid(shares, steps), abs=1e-6)
+
+
+def start(able: float = 0.01) -> SlowStart:
+    """Ten requests of mean work a second when warm; at an age of 1.5 s it may be sent 3.9 by then."""
+    return SlowStart("e", 1000.0, able)
+
+
+def bound(age: float, able: float = 0.01) -> float:
+    allowed = able * allowance(RULES, age - 1500.0, age)
+    return allowed + 2.0 * math.sqrt(allowed) + 2.0
+
+
+def test_a_known_overload_is_counted_and_a_bound_just_met_is_not() -> None:
+    one = start()
+    one.sent = [(1000.0 + 5000.0, bound(5000.0), True)]
+    assert one.overloads(RULES) == ([], 1.0)
+    one.sent = [(1000.0 + 5000.0, bound(5000.0) * 1.001, True)]
+    [found], most = one.overloads(RULES)
+    assert (found.equipo, found.t, found.told_share) == ("e", 6000.0, 1.0)
+    assert found.allowed == pytest.approx(0.01 * allowance(RULES, 3500.0, 5000.0))
+    assert most > 1.0
+
+
+def test_the_parts_of_a_window_add_up_in_the_order_in_which_they_came_and_no_longer() -> None:
+    half = bound(5000.0) * 0.55
+    one = start()
+    one.sent = [(6000.0, half, True), (4600.0, half, False)]  # as their jobs ended
+    [found], _ = one.overloads(RULES)
+    assert found.got == pytest.approx(2.0 * half)
+    assert found.told_share == pytest.approx(0.5)
+    one.sent = [(6000.0, half, True), (4500.0, half, False)]  # a whole window apart
+    assert one.overloads(RULES)[0] == []
+
+
+def test_nothing_is_allowed_before_the_start_and_all_once_warm() -> None:
+    one = start()
+    one.sent = [(1000.0, 2.1, True)]
+    assert len(one.overloads(RULES)[0]) == 1
+    one.sent = [(1000.0 + RULES.stated_cold_s * 1000.0, 500.0, True), (999.0, 500.0, True)]
+    assert one.overloads(RULES) == ([], 0.0)
+
+
+def test_many_small_ones_count_as_few_large_ones() -> None:
+    one = start()
+    one.sent = [(6000.0 + at, bound(5000.0) / 100.0, True) for at in range(120)]
+    assert len(one.overloads(RULES)[0]) == 1
+    one.sent = one.sent[:99]
+    assert one.overloads(RULES)[0] == []
+
+
+def read(*rows: dict[str, Any]) -> tuple[Ledger, Broken]:
+    ledger = Ledger(load("quiet"))
+    for row in rows:
+        ledger.take(row)
+    return ledger, ledger.close()
+
+
+def started(t: float) -> dict[str, Any]:
+    return {"e": "started", "t": t, "equipo": "e", "work_per_ms": 2.0, "mean_ms": 200.0}
+
+
+def job(came: float, told: bool, work: float = 200.0) -> dict[str, Any]:
+    row = {"e": "job", "equipo": "e", "cell": 0, "class": "subir-foto", "op": f"o{came}", "rid": f"o{came}.0"}
+    return {**row, "came": came, "work": work, "told": told, "ran": False}
+
+
+@pytest.mark.parametrize(("known", "broken"), [(30, True), (21, True), (20, False), (0, False)])
+def test_the_rule_is_broken_where_over_two_thirds_came_from_those_who_knew(known: int, broken: bool) -> None:
+    """Thirty equal requests, of which the last is the one too many."""
+    allowed = 0.01 * allowance(load("quiet").rules, 0.0, 130.0)
+    each = (allowed + 2.0 * math.sqrt(allowed) + 2.0) / 29.5 * 200.0
+    rows = [job(101.0 + at, at >= 30 - known, each) for at in range(30)]
+    ledger, found = read(started(0.0), *rows[:29])
+    assert ledger.overloads == []
+    ledger, found = read(started(0.0), *reversed(rows))
+    assert len(ledger.overloads) == 1
+    assert found.count() == len(found.overloaded) == broken
+
+
+def test_only_the_first_overload_of_a_start_is_judged_and_each_start_by_itself() -> None:
+    unknown, known = [job(100.0, False, 2000.0)], [job(5000.0, True, 20_000.0)]
+    ledger, found = read(started(0.0), *unknown, *known)
+    assert len(ledger.overloads) == 2
+    assert found.overloaded == []
+    ledger, found = read(started(0.0), *unknown, started(4000.0), *known)
+    assert [row["t"] for row in found.overloaded] == [5000.0]
+
+
+def test_clients_are_dealt_out_by_the_shares_of_nodes_and_evenly_without() -> None:
+    rng, names = np.random.default_rng(3), ["n0", "n1", "n2"]
+    nodes = msgspec.structs.replace(load("quiet").nodes, count=3, shares=(6.0,))
+    got = [dealt(rng, names, nodes.share) for _ in range(4000)]
+    assert [got.count(name) / 4000 for name in names] == pytest.approx([0.75, 0.125, 0.125], abs=0.03)
+    got = [dealt(rng, names, None) for _ in range(4000)]
+    assert [got.count(name) / 4000 for name in names] == pytest.approx([1 / 3] * 3, abs=0.03)
+
+
+# --------------------------------------------------------------- whole fleets
+
+NODES = [4, 10, 20, 30]
+
+
+def fleet(nodes: int, below: bool, trouble: list[dict[str, Any]], shares: list[float]) -> Scenario:
+    """Ten equipos of unlike speed at 0.7 of what they can do, most of which are replaced or return cold. `below`: each
+    of the nodes belongs to an equipo of the tier before, which are as many."""
+    figures = {"cold_from": [0.12, 0.33], "cold_s": [10, 24], "pause_ms": [0, 170], "error_rate": [0, 0.003]}
+    last = {"name": "archivo", "work": 0.6 if below else 1.0}
+    last["kind"] = [{"name": "b", "count": 10, "speed": [0.7, 2.2], **figures}]
+    first = {"name": "entrada", "work": 0.4, "kind": [{"name": "a", "count": nodes, "speed": [1.5, 2.5]}]}
+    able = 10 * 2 * 1.45 / (250.0 * last["work"]) * 1000.0
+    common = {"share": 1, "work_ms": 250, "cv": 0.6, "attempt_noise": 0.3, "aim_ms": 2500, "give_up_ms": 6000}
+    rows = {
+        "name": "slow-start",
+        "seconds": 15,
+        "class": [
+            {"name": "subir-foto", "effect": "unsafe", "worth": 8, **common},
+            {"name": "comentario", "effect": "keyed", "group": "cell", "worth": 3, **common},
+        ],
+        "clients": {"rate_per_s": min(0.7 * able, nodes * 28.0 if below else 1e9), "burst_cv": 0.2},
+        "nodes": {"count": 4 if below else nodes, "spread_s": 0.4, "keeps": False, "shares": shares},
+        "tier": [first, last] if below else [last],
+        "trouble": [
+            {"tier": "archivo", **row} if row["kind"] in ("deploy", "vanish") else row for row in trouble
+        ],
+    }
+    return msgspec.convert(rows, Scenario)
+
+
+REPLACED = {"kind": "deploy", "at_s": 3, "for_s": 3, "part": 0.6, "size": 0.3, "drain_s": 2, "boot_s": 0.5}
+ZONE = {"kind": "vanish", "at_s": 3, "for_s": 4, "part": 0.5, "cold": True}
+FORGET = [{"kind": "node-loss", "at_s": at, "for_s": 0.3, "part": 0.5} for at in (7, 10)]
