--- a/rosewheel/decide/policy.py
+++ b/rosewheel/decide/policy.py
@@ -80,8 +80,8 @@
 WATCH_MS = 250.0  # half the first wait before discovery is asked again; doubled at each failure
 WATCH_MAX_MS = 4000.0  # the longest such wait
 # What a cold server may be sent, as a part of its stated share of what a warm one completes. Slow servers
-# bear less than the mean, work varies by request, and the rule leaves two roots for both. Harm: a pool that is
-# replaced serves less while it warms.
+# bear less than the mean, work varies by request, and the rule leaves two roots for both. Harm: a pool that
+# is replaced serves less while it warms.
 COLD_PART = 0.5
 COLD_KEEP = 0.5  # what it has earned and is not sent lapses after this part of `tip_after_ms`
 MOSTLY = 0.5  # the part of its strength with which a pool is warm enough to learn what a warm server does
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -164,3 +164,22 @@
 REPLACED = {"kind": "deploy", "at_s": 3, "for_s": 3, "part": 0.6, "size": 0.3, "drain_s": 2, "boot_s": 0.5}
 ZONE = {"kind": "vanish", "at_s": 3, "for_s": 4, "part": 0.5, "cold": True}
 FORGET = [{"kind": "node-loss", "at_s": at, "for_s": 0.3, "part": 0.5} for at in (7, 10)]
+
+
+@pytest.mark.parametrize("below", [False, True], ids=["first", "below"])
+@pytest.mark.parametrize("nodes", NODES)
+@pytest.mark.parametrize(
+    ("trouble", "shares"),
+    [([REPLACED], []), ([REPLACED, *FORGET], [8.0, 3.0]), ([ZONE], [3.0])],
+    ids=["replaced", "uneven-and-forgetful", "zone"],
+)
+def test_all_nodes_together_keep_to_what_the_settings_allow_a_cold_equipo(
+    below: bool, nodes: int, trouble: list[dict[str, Any]], shares: list[float]
+) -> None:
+    run = Simulation(plan.make(fleet(nodes, below, trouble, shares), 1))
+    summary = run.run()
+    assert summary["rules"]["overloaded"] == []
+    assert summary["rules"]["tipped"] == []
+    cold = [spec.name for spec in run.world.specs.values() if run.world.hosts[spec.name].model.started_ms > 0]
+    assert len(cold) >= 5
+    assert all(run.world.hosts[name].model.done_work > 0.0 for name in cold), "none is left idle"
