--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -2,21 +2,29 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 from typing import Any
+from unittest.mock import Mock
 
 import msgspec
 import numpy as np
 import pytest
+from helpers import Bed, sent
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from rosewheel.decide import interface as api
 from rosewheel.lab import plan
+from rosewheel.lab.equipo import Spec
 from rosewheel.lab.ledger import Broken, Ledger
 from rosewheel.lab.scenario import RulesTable, Scenario, load
 from rosewheel.lab.slow_start import SlowStart, allowance
-from rosewheel.lab.streams import dealt
-from rosewheel.lab.virtual.simulate import Simulation
+from rosewheel.lab.streams import dealt, stream
+from rosewheel.lab.virtual.discovery import Registry
+from rosewheel.lab.virtual.events import Queue
+from rosewheel.lab.virtual.node import VirtualNode
+from rosewheel.lab.virtual.simulate import Simulation, simulate
 
 RULES = RulesTable(stated_cold_from=0.2, stated_cold_s=10.0, tip_ms=1500.0)
 SHORT = settings(max_examples=60, deadline=None, derandomize=True)
@@ -180,3 +188,73 @@
     cold = [spec.name for spec in run.world.specs.values() if run.world.hosts[spec.name].model.started_ms > 0]
     assert len(cold) >= 5
     assert all(run.world.hosts[name].model.done_work > 0.0 for name in cold), "none is left idle"
+
+
+@pytest.mark.parametrize("nodes", [10, 30])
+def test_nodes_that_prefer_their_own_zone_keep_to_it_too(nodes: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Three in ten nodes are in the zone of eight in ten equipos, most of which are replaced."""
+    plain = VirtualNode.__init__
+
+    def init(self: VirtualNode, world: Any, name: str, tier: int, told: api.Settings, *rest: Any) -> None:
+        zone = "ab"[int(name[1:]) % 10 >= 3]
+        plain(self, world, name, tier, dataclasses.replace(told, zone=zone, cross_zone_price=0.05), *rest)
+
+    monkeypatch.setattr(VirtualNode, "__init__", init)
+    one = plan.make(fleet(nodes, False, [REPLACED], []), 1)
+
+    def zoned(specs: tuple[Spec, ...]) -> tuple[Spec, ...]:
+        return tuple(dataclasses.replace(spec, zone="ab"[at % 5 == 4]) for at, spec in enumerate(specs))
+
+    summary = simulate(dataclasses.replace(one, equipos=zoned(one.equipos), later=zoned(one.later)))
+    assert summary["rules"]["overloaded"] == []
+    assert summary["rules"]["tipped"] == []
+
+
+def test_a_node_that_starts_with_a_list_has_been_told_of_all_starts_in_it() -> None:
+    told: list[tuple[str, str]] = []
+    queue, one = Queue(0.0), plan.make(load("quiet"))
+    registry = Registry(
+        queue, one, lambda node, entry: told.append((node, entry.address)), lambda *_: False, stream(1, "x")
+    )
+    registry.truth = {"old": api.Server("old"), "new": api.Server("new", launched_ms=5.0)}
+    node = Mock()
+    node.name = "n7"
+    registry.add(node)
+    assert told == [("n7", "new")]
+
+
+# ------------------------------------------------------------------- one node
+
+
+def test_thirty_nodes_save_up_no_calls_for_a_server_that_is_away() -> None:
+    """Guard: each had a call or two ready, and all sent them as it came back."""
+    beds = [Bed(10, seed=seed, siblings=30, tier=1) for seed in range(30)]
+    sends = 0
+    for bed in beds:
+        for state in (api.ServerState.UP, api.ServerState.DRAINING):
+            cold = api.Server("cold", "a", state=state, launched_ms=bed.now)
+            bed.give(api.Membership(api.ListForm.DELTA, (cold,)))
+        for _ in range(60):
+            bed.serve(latency=bed.balancer.period_ms / 3)
+            if bed.names % 3 == 0:
+                bed.period(0.0)
+        bed.give(api.Membership(api.ListForm.DELTA, (dataclasses.replace(cold, state=api.ServerState.UP),)))
+        for _ in range(6):
+            bed.now += 10.0
+            sends += sum(act.server == "cold" for act in sent(bed.ask("post")[1]))
+    assert sends <= 12
+
+
+@SHORT
+@given(st.lists(st.floats(0.0, 0.05), min_size=2, max_size=30))
+def test_what_nodes_allow_together_is_what_a_warm_server_completes_for_all(rates: list[float]) -> None:
+    """Whatever part of the traffic each has, and however many processes it is just then."""
+    allowed = 0.0
+    for at, rate in enumerate(rates):
+        bed = Bed(4, siblings=len(rates))
+        bed.balancer.able = bed.balancer.able_peak = rate
+        one = bed.balancer._pace()
+        bed.give(api.Company(2))
+        assert bed.balancer._pace() == pytest.approx(one / 2.0), at
+        allowed += one
+    assert allowed <= sum(rates) + 1e-9
