--- a/rosewheel/handover/service.py
+++ b/rosewheel/handover/service.py
@@ -6,9 +6,9 @@
 import logging
 import os
 import socket
-from pathlib import Path
 from typing import Any
 
+from rosewheel.config.platform import Address
 from rosewheel.handover import wire
 from rosewheel.handover.giver import Giver
 from rosewheel.handover.link import Link, connect, drop, listen, own_peer
@@ -28,7 +28,7 @@
     neither."""
 
     def __init__(self, folder: str | None, name: str, moves: Moves) -> None:
-        self.folder = Path(folder) if folder else None
+        self.folder = folder or None
         self.name, self.moves = name, moves
         self.before: Link | None = None
         self.after: Link | None = None
@@ -54,8 +54,19 @@
         self._beside()
         return True
 
-    async def borrow(self) -> list[int]:
-        """The listening sockets of the process before this one, that of its door included, if it lends them."""
+    async def borrow(self, *wanted: Address | None) -> list[socket.socket | None]:
+        """The listening sockets of the process before this one, that of its door included, if it lends them: for each
+        address that is wanted the one that is bound there, or None."""
+        found: list[socket.socket | None] = [None] * len(wanted)
+        for sock in [socket.socket(fileno=fd) for fd in await self._borrow()]:
+            at = wanted.index(address) if (address := sock.getsockname()[:2]) in wanted else -1
+            if at < 0:
+                sock.close()
+            else:
+                found[at] = sock
+        return found
+
+    async def _borrow(self) -> list[int]:
         if self.before is None:
             return []
         self._lent = self.loop.create_future()
@@ -162,7 +173,8 @@
 
     def _lend(self, link: Link) -> None:
         relay = self.moves.relay
-        socks = (relay.server.listening_socket, relay.admin.listening_socket)
+        door = relay.admin
+        socks = (relay.server.listening_socket, door.listening_socket if door is not None else None)
         link.send({"t": "lent"}, fds=tuple(sock.fileno() for sock in socks if sock is not None))
 
     def _beside(self) -> None:
--- a/rosewheel/http/equipos.py
+++ b/rosewheel/http/equipos.py
@@ -62,6 +62,11 @@
         self.loop = asyncio.get_running_loop()
         self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
+    def configure(self, bounds: Bounds, crowds: bool) -> None:
+        """These hold from now on; a connection that is coming up keeps the time that it had for that."""
+        self.bounds = bounds
+        self.rest.configure(bounds.conn_idle_ms / 1000.0, crowds)
+
     # ----------------------------------------------------------------- servers
 
     def update(self, entries: list[tuple[Server, Address]], whole: bool) -> None:
@@ -108,16 +113,26 @@
     # ---------------------------------------------------------------- attempts
 
     def start(
-        self, id: str, attempt: int, host: str, head: bytes, body: Body | None = None, chunked: bool = False
+        self,
+        id: str,
+        attempt: int,
+        host: str,
+        head: bytes,
+        body: Body | None = None,
+        chunked: bool = False,
+        wanted: Callable[[], bool] = lambda: True,
     ) -> None:
+        """Send this attempt. Where its connection has to come up first, `wanted` is asked right before the first byte:
+        whether its caller is still there."""
+
         def done(result: Result, report: Report | None, body: bytes) -> None:
-            del self.live[id, attempt]
-            self.ended(id, attempt, result, report, body)
+            if self.live.pop((id, attempt), None) is not None:
+                self.ended(id, attempt, result, report, body)
 
         def begin(length: int | None, eased: Callable[[], None]) -> Sink | None:
             return self.began(id, attempt, length, eased)
 
-        exchange = Exchange(head, done, self.loop.time(), self.tried, begin, body, chunked)
+        exchange = Exchange(head, done, self.loop.time(), self.tried, begin, wanted, body, chunked)
         self.live[id, attempt] = exchange
         self._begin(host, exchange)
 
@@ -189,9 +204,11 @@
                 conn.send(exchange)
                 return
             conn.close()
-        exchange.task = self.loop.create_task(self._open(host, exchange))
+        # Told now: when it begins another configuration may hold, under which a repeat might come too late.
+        connect_s = self.bounds.connect_timeout_ms / 1000.0
+        exchange.task = self.loop.create_task(self._open(host, exchange, connect_s))
 
-    async def _open(self, host: str, exchange: Exchange) -> None:
+    async def _open(self, host: str, exchange: Exchange, connect_s: float) -> None:
         pool = self.pools.get(host)
         if pool is None or not self._open_to(host) or not self.make_room():
             exchange.done(Result.CONNECT_FAILED, None, b"")
@@ -199,7 +216,7 @@
         dial, conn, made = pool.dial, Connection(self, pool), False
         self.coming += 1
         try:
-            async with asyncio.timeout(self.bounds.connect_timeout_ms / 1000.0):
+            async with asyncio.timeout(connect_s):
                 await self.loop.create_connection(lambda: conn, *dial)
             # Guards the drain: the server may have left, or moved, while the connection came up.
             same = self.pools.get(host) is pool and pool.dial == dial
@@ -211,9 +228,10 @@
             if not made:  # also where the attempt was given up just as the connection came up
                 conn.close()
         exchange.task = None
-        if made:
+        if made and exchange.wanted():
             conn.send(exchange)
         else:
+            conn.close()
             exchange.done(Result.CONNECT_FAILED, None, b"")
 
     # ------------------------------------------------------------------ moving
@@ -318,7 +336,8 @@
             conn.pool.idle.remove(conn)
 
     def release(self, conn: Connection) -> None:
-        if self._open_to(conn.pool.host) and conn.pool.up and conn.pool.dial == conn.dial:
+        same = conn.pool.dial == conn.dial and conn.pool.launched_ms == conn.launched_ms
+        if self._open_to(conn.pool.host) and conn.pool.up and same:
             conn.idle_since = self.loop.time()
             conn.pool.idle.append(conn)
             self.resting[conn] = None
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -29,6 +29,7 @@
 
 from rosewheel.config.platform import Config
 from rosewheel.decide import interface as api
+from rosewheel.http.body import SHARES
 from rosewheel.http.connection import report_from
 from rosewheel.node.bounds import Bounds
 from rosewheel.relay.relay import Relay
@@ -377,6 +378,7 @@
     async def main() -> None:
         free, slow = held_back()
         async with FakeServer(slow).up() as server, node([entry("s", server.port)]) as relay:
+            relay.budget.most = SHARES * 16384  # so that a connection may hold 16 KB
             async with Client(relay) as client:
                 for at in range(3):
                     client.send("post", id=f"r{at}", body=b"x" * 9000)
@@ -635,7 +637,7 @@
 
 def test_a_silent_watch_is_a_failed_one(monkeypatch: pytest.MonkeyPatch):
     """Guards the list against a discovery that is cut off: its connection stays open and says nothing."""
-    monkeypatch.setattr("rosewheel.discovery.catalog.SILENCE_S", 0.05)
+    monkeypatch.setattr("rosewheel.discovery.watch.SILENCE_S", 0.05)
 
     async def main() -> None:
         async with FakeDiscovery().up() as discovery, node([], discovery):
