--- a/rosewheel/config/operator.py
+++ b/rosewheel/config/operator.py
@@ -90,6 +90,7 @@
     over_share_worth: Share = 1.0
     cold_from: Annotated[float, Meta(gt=0, le=1)] = 1.0
     cold_ms: Natural = 0.0
+    overload_factor: Positive = 4.0
     tip_after_ms: Positive = 1500.0
     drain_grace_ms: Positive = 400.0
 
@@ -174,6 +175,7 @@
             cross_zone_price=routing.cross_zone_price,
             cold_from=routing.cold_from,
             cold_ms=routing.cold_ms,
+            overload_factor=routing.overload_factor,
             tip_after_ms=routing.tip_after_ms,
             connect_ms=self.limits.connect_timeout_ms,
         )
--- a/rosewheel/decide/interface.py
+++ b/rosewheel/decide/interface.py
@@ -100,6 +100,8 @@
     cross_zone_price: float = 0.0
     cold_from: float = 1.0
     cold_ms: float = 0.0
+    # A cold server falls that is sent so many times what it can do by then, in any time of this length.
+    overload_factor: float = 4.0
     tip_after_ms: float = 1000.0
     connect_ms: float = (
         0.0  # how long a connection may take to come up before an attempt's first byte goes out
@@ -122,7 +124,8 @@
             _within(key, getattr(self, key), 1)
             if getattr(self, key) % 1:
                 raise ValueError(f"{key}: {getattr(self, key)!r} is not a whole number")
-        _within("tip_after_ms", self.tip_after_ms, 0.001)
+        for key in ("overload_factor", "tip_after_ms"):
+            _within(key, getattr(self, key), 0.001)
         _within("over_share_worth", self.over_share_worth, 0, 1)
         _within("cold_from", self.cold_from, 0.001, 1)
         for key, names in (("classes", self.classes), ("tenants", self.tenants)):
--- a/rosewheel/decide/policy.py
+++ b/rosewheel/decide/policy.py
@@ -81,10 +81,10 @@
 WATCH_MS = 250.0  # half the first time from one call of discovery to the next; doubled at each failure
 WATCH_MAX_MS = 4000.0  # the longest such time; what a call took is part of it: discovery/watch.py has the sum
 WATCH_LEAST_MS = 200.0  # the longest wait behind a call that took longer than that, or a watch that was open
-# What a cold server may be sent, as a part of its stated share of what a warm one completes. Slow servers
-# bear less than the mean, work varies by request, and the rule leaves two roots for both. Harm: a pool that
-# is replaced serves less while it warms.
-COLD_PART = 0.5
+# What a cold server may be sent, as a part of its budget: `overload_factor` times its stated share of what a
+# warm one completes. Slow servers bear less than the mean, work varies by request, sums of many nodes vary, and
+# two roots are all there is for that. Harm: a pool that is replaced serves less while it warms.
+COLD_PART = 0.375
 COLD_KEEP = 0.5  # what it has earned and is not sent lapses after this part of `tip_after_ms`
 MOSTLY = 0.5  # the part of its strength with which a pool is warm enough to learn what a warm server does
 PEAK_LUCK = 1.5  # deviations by which the peak of a rate by few completions is taken to be luck
@@ -616,7 +616,7 @@
         if self.able_peak:
             seen = min(STEADY, max(1.0, self.able * self.lately * RATE_MS * LONGER))
             able = max(self.able, self.able_peak / (1.0 + PEAK_LUCK / math.sqrt(seen)))
-        return COLD_PART * able / self.processes
+        return COLD_PART * self.cfg.overload_factor * able / self.processes
 
     def _warmth(self, now: float, peer: Peer) -> float:
         """The least share of its capacity that a server has by now, as stated: 1 once it is warm."""
--- a/rosewheel/decide/settings.py
+++ b/rosewheel/decide/settings.py
@@ -87,6 +87,7 @@
         "cross_zone_price": prices.get("crossZone"),
         "cold_from": rules.get("coldFrom"),
         "cold_ms": rules.get("coldMs"),
+        "overload_factor": rules.get("overloadFactor"),
         "tip_after_ms": rules.get("tipAfterMs"),
         "connect_ms": bounds.get("connectTimeoutMs"),
     }
