--- /dev/null
+++ b/tests/test_slow_start.py
@@ -0,0 +1,274 @@
+"""Slow start: what all nodes together send a cold equipo, as it is counted and as it is kept."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from typing import Any
+from unittest.mock import Mock
+
+import msgspec
+import numpy as np
+import pytest
+from helpers import Bed, sent
+from helpers import settings as settings_of
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rosewheel.decide import interface as api
+from rosewheel.lab import plan
+from rosewheel.lab.equipo import Spec
+from rosewheel.lab.ledger import Broken, Ledger
+from rosewheel.lab.scenario import RulesTable, Scenario, load
+from rosewheel.lab.slow_start import SlowStart, allowance
+from rosewheel.lab.streams import dealt, stream
+from rosewheel.lab.virtual.discovery import Registry
+from rosewheel.lab.virtual.events import Queue
+from rosewheel.lab.virtual.node import VirtualNode
+from rosewheel.lab.virtual.simulate import Simulation, simulate
+
+RULES = RulesTable(stated_cold_from=0.2, stated_cold_s=10.0, tip_ms=1500.0, tip_multiple=3.0)
+SHORT = settings(max_examples=60, deadline=None, derandomize=True)
+
+# ------------------------------------------------------------------ the count
+
+
+@SHORT
+@given(st.floats(0.0, 10_000.0), st.floats(0.0, 3000.0))
+def test_what_is_allowed_is_the_sum_of_the_stated_share(until: float, length: float) -> None:
+    steps = np.linspace(max(0.0, until - length), until, 2001)
+    shares = 3.0 * (0.2 + 0.8 * steps / 10_000.0)
+    assert allowance(RULES, until - length, until) == pytest.approx(np.trapezoid(shares, steps), abs=1e-6)
+
+
+def start(able: float = 0.01) -> SlowStart:
+    """Ten requests of mean work a second when warm."""
+    return SlowStart("e", 1000.0, able)
+
+
+def bound(age: float, able: float = 0.01) -> float:
+    allowed = able * allowance(RULES, age - 1500.0, age)
+    return allowed + 2.0 * math.sqrt(allowed) + 2.0
+
+
+def test_a_known_overload_is_counted_and_a_bound_just_met_is_not() -> None:
+    one = start()
+    one.sent = [(1000.0 + 5000.0, bound(5000.0), True)]
+    assert one.overloads(RULES) == ([], 1.0)
+    one.sent = [(1000.0 + 5000.0, bound(5000.0) * 1.001, True)]
+    [found], most = one.overloads(RULES)
+    assert (found.equipo, found.t, found.told_share) == ("e", 6000.0, 1.0)
+    assert found.allowed == pytest.approx(0.01 * allowance(RULES, 3500.0, 5000.0))
+    assert most > 1.0
+
+
+def test_the_parts_of_a_window_add_up_in_the_order_in_which_they_came_and_no_longer() -> None:
+    half = bound(5000.0) * 0.55
+    one = start()
+    one.sent = [(6000.0, half, True), (4600.0, half, False)]  # as their jobs ended
+    [found], _ = one.overloads(RULES)
+    assert found.got == pytest.approx(2.0 * half)
+    assert found.told_share == pytest.approx(0.5)
+    one.sent = [(6000.0, half, True), (4500.0, half, False)]  # a whole window apart
+    assert one.overloads(RULES)[0] == []
+
+
+def test_nothing_is_allowed_before_the_start_and_all_once_warm() -> None:
+    one = start()
+    one.sent = [(1000.0, 2.1, True)]
+    assert len(one.overloads(RULES)[0]) == 1
+    one.sent = [(1000.0 + RULES.stated_cold_s * 1000.0, 500.0, True), (999.0, 500.0, True)]
+    assert one.overloads(RULES) == ([], 0.0)
+
+
+def test_many_small_ones_count_as_few_large_ones() -> None:
+    one = start()
+    one.sent = [(6000.0 + at, bound(5000.0) / 100.0, True) for at in range(120)]
+    assert len(one.overloads(RULES)[0]) == 1
+    one.sent = one.sent[:99]
+    assert one.overloads(RULES)[0] == []
+
+
+def read(*rows: dict[str, Any]) -> tuple[Ledger, Broken]:
+    ledger = Ledger(load("quiet"))
+    for row in rows:
+        ledger.take(row)
+    return ledger, ledger.close()
+
+
+def started(t: float) -> dict[str, Any]:
+    return {"e": "started", "t": t, "equipo": "e", "work_per_ms": 2.0, "mean_ms": 200.0}
+
+
+def job(came: float, told: bool, work: float = 200.0) -> dict[str, Any]:
+    row = {"e": "job", "equipo": "e", "cell": 0, "class": "subir-foto", "op": f"o{came}", "rid": f"o{came}.0"}
+    return {**row, "came": came, "work": work, "told": told, "ran": False}
+
+
+@pytest.mark.parametrize(("known", "broken"), [(30, True), (21, True), (20, False), (0, False)])
+def test_the_rule_is_broken_where_over_two_thirds_came_from_those_who_knew(known: int, broken: bool) -> None:
+    """Thirty equal requests, of which the last is the one too many."""
+    allowed = 0.01 * allowance(load("quiet").rules, 0.0, 130.0)
+    each = (allowed + 2.0 * math.sqrt(allowed) + 2.0) / 29.5 * 200.0
+    rows = [job(101.0 + at, at >= 30 - known, each) for at in range(30)]
+    ledger, found = read(started(0.0), *rows[:29])
+    assert ledger.overloads == []
+    ledger, found = read(started(0.0), *reversed(rows))
+    assert len(ledger.overloads) == 1
+    assert found.count() == len(found.overloaded) == broken
+
+
+def test_only_the_first_overload_of_a_start_is_judged_and_each_start_by_itself() -> None:
+    unknown, known = [job(100.0, False, 2000.0)], [job(5000.0, True, 20_000.0)]
+    ledger, found = read(started(0.0), *unknown, *known)
+    assert len(ledger.overloads) == 2
+    assert found.overloaded == []
+    ledger, found = read(started(0.0), *unknown, started(4000.0), *known)
+    assert [row["t"] for row in found.overloaded] == [5000.0]
+
+
+def test_clients_are_dealt_out_by_the_shares_of_nodes_and_evenly_without() -> None:
+    rng, names = np.random.default_rng(3), ["n0", "n1", "n2"]
+    nodes = msgspec.structs.replace(load("quiet").nodes, count=3, shares=(6.0,))
+    got = [dealt(rng, names, nodes.share) for _ in range(4000)]
+    assert [got.count(name) / 4000 for name in names] == pytest.approx([0.75, 0.125, 0.125], abs=0.03)
+    got = [dealt(rng, names, None) for _ in range(4000)]
+    assert [got.count(name) / 4000 for name in names] == pytest.approx([1 / 3] * 3, abs=0.03)
+
+
+# --------------------------------------------------------------- whole fleets
+
+NODES = [4, 10, 20, 30]
+
+
+def fleet(nodes: int, below: bool, trouble: list[dict[str, Any]], shares: list[float]) -> Scenario:
+    """Ten equipos of unlike speed at 0.7 of what they can do, most of which are replaced or return cold. `below`: each
+    of the nodes belongs to an equipo of the tier before, which are as many."""
+    figures = {"cold_from": [0.12, 0.33], "cold_s": [10, 24], "pause_ms": [0, 170], "error_rate": [0, 0.003]}
+    last = {"name": "archivo", "work": 0.6 if below else 1.0}
+    last["kind"] = [{"name": "b", "count": 10, "speed": [0.7, 2.2], **figures}]
+    first = {"name": "entrada", "work": 0.4, "kind": [{"name": "a", "count": nodes, "speed": [1.5, 2.5]}]}
+    able = 10 * 2 * 1.45 / (250.0 * last["work"]) * 1000.0
+    common = {"share": 1, "work_ms": 250, "cv": 0.6, "attempt_noise": 0.3, "aim_ms": 2500, "give_up_ms": 6000}
+    rows = {
+        "name": "slow-start",
+        "seconds": 15,
+        "class": [
+            {"name": "subir-foto", "effect": "unsafe", "worth": 8, **common},
+            {"name": "comentario", "effect": "keyed", "group": "cell", "worth": 3, **common},
+        ],
+        "clients": {"rate_per_s": min(0.7 * able, nodes * 28.0 if below else 1e9), "burst_cv": 0.2},
+        "nodes": {"count": 4 if below else nodes, "spread_s": 0.4, "keeps": False, "shares": shares},
+        "tier": [first, last] if below else [last],
+        "trouble": [
+            {"tier": "archivo", **row} if row["kind"] in ("deploy", "vanish") else row for row in trouble
+        ],
+    }
+    return msgspec.convert(rows, Scenario)
+
+
+REPLACED = {"kind": "deploy", "at_s": 3, "for_s": 3, "part": 0.6, "size": 0.3, "drain_s": 2, "boot_s": 0.5}
+ZONE = {"kind": "vanish", "at_s": 3, "for_s": 4, "part": 0.5, "cold": True}
+FORGET = [{"kind": "node-loss", "at_s": at, "for_s": 0.3, "part": 0.5} for at in (7, 10)]
+
+
+@pytest.mark.parametrize("below", [False, True], ids=["first", "below"])
+@pytest.mark.parametrize("nodes", NODES)
+@pytest.mark.parametrize(
+    ("trouble", "shares"),
+    [([REPLACED], []), ([REPLACED, *FORGET], [8.0, 3.0]), ([ZONE], [3.0])],
+    ids=["replaced", "uneven-and-forgetful", "zone"],
+)
+def test_all_nodes_together_keep_to_what_the_settings_allow_a_cold_equipo(
+    below: bool, nodes: int, trouble: list[dict[str, Any]], shares: list[float]
+) -> None:
+    run = Simulation(plan.make(fleet(nodes, below, trouble, shares), 1))
+    summary = run.run()
+    assert summary["rules"]["overloaded"] == []
+    assert summary["rules"]["tipped"] == []
+    cold = [spec.name for spec in run.world.specs.values() if run.world.hosts[spec.name].model.started_ms > 0]
+    assert len(cold) >= 5
+    assert all(run.world.hosts[name].model.done_work > 0.0 for name in cold), "none is left idle"
+
+
+@pytest.mark.parametrize("nodes", [10, 30])
+def test_nodes_that_prefer_their_own_zone_keep_to_it_too(nodes: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Three in ten nodes are in the zone of eight in ten equipos, most of which are replaced."""
+    plain = VirtualNode.__init__
+
+    def init(self: VirtualNode, world: Any, name: str, tier: int, told: api.Settings, *rest: Any) -> None:
+        zone = "ab"[int(name[1:]) % 10 >= 3]
+        plain(self, world, name, tier, dataclasses.replace(told, zone=zone, cross_zone_price=0.05), *rest)
+
+    monkeypatch.setattr(VirtualNode, "__init__", init)
+    one = plan.make(fleet(nodes, False, [REPLACED], []), 1)
+
+    def zoned(specs: tuple[Spec, ...]) -> tuple[Spec, ...]:
+        return tuple(dataclasses.replace(spec, zone="ab"[at % 5 == 4]) for at, spec in enumerate(specs))
+
+    summary = simulate(dataclasses.replace(one, equipos=zoned(one.equipos), later=zoned(one.later)))
+    assert summary["rules"]["overloaded"] == []
+    assert summary["rules"]["tipped"] == []
+
+
+def test_a_node_that_starts_with_a_list_has_been_told_of_all_starts_in_it() -> None:
+    told: list[tuple[str, str]] = []
+    queue, one = Queue(0.0), plan.make(load("quiet"))
+    registry = Registry(
+        queue, one, lambda node, entry: told.append((node, entry.address)), lambda *_: False, stream(1, "x")
+    )
+    registry.truth = {"old": api.Server("old"), "new": api.Server("new", launched_ms=5.0)}
+    node = Mock()
+    node.name = "n7"
+    registry.add(node)
+    assert told == [("n7", "new")]
+
+
+# ------------------------------------------------------------------- one node
+
+
+def test_thirty_nodes_save_up_no_calls_for_a_server_that_is_away() -> None:
+    """Guard: each had a call or two ready, and all sent them as it came back."""
+    beds = [Bed(10, seed=seed, siblings=30, tier=1) for seed in range(30)]
+    sends = 0
+    for bed in beds:
+        for state in (api.ServerState.UP, api.ServerState.DRAINING):
+            cold = api.Server("cold", "a", state=state, launched_ms=bed.now)
+            bed.give(api.Membership(api.ListForm.DELTA, (cold,)))
+        for _ in range(60):
+            bed.serve(latency=bed.balancer.period_ms / 3)
+            if bed.names % 3 == 0:
+                bed.period(0.0)
+        bed.give(api.Membership(api.ListForm.DELTA, (dataclasses.replace(cold, state=api.ServerState.UP),)))
+        for _ in range(6):
+            bed.now += 10.0
+            sends += sum(act.server == "cold" for act in sent(bed.ask("post")[1]))
+    # Of what is completed for all thirty a warm server does a tenth; what it may be sent while it is as old as this is
+    # the budget of the settings.
+    cfg, age = beds[0].balancer.cfg, beds[0].now - cold.launched_ms
+    rules = RulesTable(
+        stated_cold_from=cfg.cold_from,
+        stated_cold_s=cfg.cold_ms / 1000.0,
+        tip_ms=cfg.tip_after_ms,
+        tip_multiple=cfg.overload_factor,
+    )
+    able = len(beds) * 3.0 / beds[0].balancer.period_ms / 10.0
+    assert 0 < sends <= able * allowance(rules, age - cfg.tip_after_ms, age) / 2.0
+
+
+@SHORT
+@given(st.lists(st.floats(0.0, 0.05), min_size=2, max_size=30))
+def test_what_nodes_allow_together_is_a_part_of_the_budget_of_what_a_warm_server_completes(
+    rates: list[float],
+) -> None:
+    """Of a budget, whatever part of the traffic each has, and however many processes it is just then."""
+    allowed = 0.0
+    for at, rate in enumerate(rates):
+        bed = Bed(4, siblings=len(rates))
+        bed.balancer.able = bed.balancer.able_peak = rate
+        one = bed.balancer._pace()
+        bed.give(api.Company(2))
+        assert bed.balancer._pace() == pytest.approx(one / 2.0), at
+        allowed += one
+    budget = settings_of().overload_factor * sum(rates)
+    assert allowed <= budget / 2.0 + 1e-9, "half of it is left for luck and unlike work"
