--- a/rosewheel/cli/lab.py
+++ b/rosewheel/cli/lab.py
@@ -31,10 +31,14 @@
 INTERRUPTED = 130
 
 
-def _plan(name: str, seed: int | None, seconds: float | None) -> Plan:
+def _plan(name: str, seed: int | None, seconds: float | None, emulated: bool = True) -> Plan:
+    """`emulated`: its equipos are to stand on sockets."""
     changes = {} if seconds is None else {"seconds": seconds}
     try:
-        return plans.make(scenarios.load(name, changes), seed)
+        told = scenarios.load(name, changes)
+        if emulated:
+            experiments.check(told)
+        return plans.make(told, seed)
     except ProblemsError as error:
         bad_input(error)
 
@@ -216,7 +220,7 @@
     name: str, target: str, seed: int | None, seconds: float | None, only_plan: bool, out: Path | None
 ) -> None:
     """Open-loop clients of a scenario against nodes that run already; the last line is the result as JSON."""
-    plan = _plan(name, seed, seconds)
+    plan = _plan(name, seed, seconds, emulated=False)
     if only_plan:
         print_plan(plan)
         return
@@ -269,6 +273,8 @@
     """Emulator, real nodes and load together: records, a table, and a page with plots. 1 where a rule broke."""
     try:
         found = experiments.variants(names, changes_from(vary, seconds))
+        for variant in found:
+            experiments.check(variant.scenario)
     except ProblemsError as error:
         bad_input(error)
     if only_plan:
--- a/rosewheel/lab/emulator.py
+++ b/rosewheel/lab/emulator.py
@@ -16,7 +16,7 @@
 from rosewheel.lab.catalog import Agent, Entry, Registry
 from rosewheel.lab.host import Fault, Host, Work
 from rosewheel.lab.nodes import NodeProcess, settings
-from rosewheel.lab.plan import Plan, Step, stretches, told_after_ms
+from rosewheel.lab.plan import Plan, Step, stretches, targets, told_after_ms
 from rosewheel.lab.records import Writer
 from rosewheel.lab.streams import stream
 from rosewheel.lab.wire import Answered, Asked, Asking, Peer, now_ms
@@ -238,7 +238,8 @@
         except ValueError:
             asked.connection.answer(400)
             return None
-        work_ms = stretches(self.plan, spec, figures, total, (self._noise, self._calls))
+        calls = len(targets(self.plan, spec.tier, self._calls))
+        work_ms = stretches(self.plan, spec, figures, total, self._noise, calls)
         if asked.first_on_connection:
             work_ms = (work_ms[0] + spec.handshake_ms, *work_ms[1:])
         self._next += 1
@@ -404,7 +405,7 @@
 
     def _fault_step(self, step: Step, begins: bool) -> None:
         trouble = self.plan.scenario.troubles[step.trouble]
-        tier = trouble.tier or self.plan.scenario.tiers[0].name
+        tier = trouble.where or self.plan.scenario.tiers[0].name
         for name, host in self.hosts.items():
             if self.plan.scenario.tiers[host.spec.tier].name != tier:
                 continue
--- a/rosewheel/lab/experiment.py
+++ b/rosewheel/lab/experiment.py
@@ -10,10 +10,12 @@
 
 import msgspec
 
+from rosewheel.config.checked import Problem, ProblemsError
 from rosewheel.lab import plan as plans
 from rosewheel.lab import scenario as scenarios
 from rosewheel.lab.run import Run
-from rosewheel.lab.scenario import Scenario
+from rosewheel.lab.scenario import OF_AREAS, Scenario
+from rosewheel.lab.tables import NetworkTable
 
 
 @dataclass(slots=True, frozen=True)
@@ -36,6 +38,21 @@
     return found
 
 
+def check(scenario: Scenario) -> None:
+    """ProblemsError where a scenario wants what is not emulated on sockets."""
+    wanted = {
+        "service": bool(scenario.services),
+        "region": bool(scenario.regions),
+        "network": scenario.network != NetworkTable(),
+    }
+    for at, trouble in enumerate(scenario.troubles):
+        wanted[f"trouble[{at}].kind"] = trouble.kind in OF_AREAS
+    for key, there in wanted.items():
+        if there:
+            why = "services, regions and ways between them are not emulated on sockets: `simulate` plays them"
+            raise ProblemsError(scenario.name, [Problem(key, None, why)])
+
+
 def value(text: str) -> object:
     """A value on the command line: a number, true or false, or else text."""
     try:
--- a/rosewheel/lab/load.py
+++ b/rosewheel/lab/load.py
@@ -18,8 +18,8 @@
 from rosewheel.lab.plan import Arrival, Plan
 from rosewheel.lab.records import Writer
 from rosewheel.lab.retry import SLACK_MS, Verdict, wait_ms
-from rosewheel.lab.scenario import ClassTable
 from rosewheel.lab.streams import stream
+from rosewheel.lab.tables import ClassTable
 from rosewheel.lab.wire import Address, Answered, Asking, Peer, now_ms
 
 HEALTH_S = 0.1  # how often the front looks after its nodes
--- a/rosewheel/lab/nodes.py
+++ b/rosewheel/lab/nodes.py
@@ -27,11 +27,11 @@
     ctypes.CDLL(None).prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
-def settings(plan: Plan, tier: int, siblings: int) -> dict[str, Any]:
-    """The settings of a node that sends to this tier, as the platform words them."""
+def settings(plan: Plan, tier: int, siblings: int, zone: str = "") -> dict[str, Any]:
+    """The settings of a node that sends to this tier, as the platform words them. `zone`: where it stands."""
     scenario, rules, nodes = plan.scenario, plan.scenario.rules, plan.scenario.nodes
     return {
-        "locality": scenario.zone,
+        "locality": zone or scenario.zone,
         "tier": tier,
         "siblings": siblings,
         "registryMode": "push",
@@ -66,7 +66,7 @@
             "tipAfterMs": rules.tip_ms,
             "overloadFactor": rules.tip_multiple,
         },
-        "prices": {"crossZone": 0.0},
+        "prices": {"crossZone": scenario.network.cross_zone_price},
     }
 
 
--- a/rosewheel/lab/plan.py
+++ b/rosewheel/lab/plan.py
@@ -15,8 +15,10 @@
 import numpy as np
 
 from rosewheel.lab.equipo import Choke, Spec
-from rosewheel.lab.scenario import KindTable, Range, Scenario, TierTable, TroubleTable
+from rosewheel.lab.graph import Edges
+from rosewheel.lab.scenario import Scenario, TroubleTable
 from rosewheel.lab.streams import lognormal, stream
+from rosewheel.lab.tables import KindTable, Range, ServiceTable, TierTable
 
 
 @dataclass(slots=True, frozen=True)
@@ -57,7 +59,7 @@
     seed: int
     equipos: tuple[Spec, ...]  # those that run from the start
     later: tuple[Spec, ...]  # those that a deploy starts
-    calls: tuple[float, ...]  # by tier: calls for each request of the tier above
+    edges: Edges  # by tier: whom it calls, and how often for each request
     classes: tuple[ClassFigures, ...]
     arrivals: tuple[Arrival, ...]
     steps: tuple[Step, ...]
@@ -69,13 +71,22 @@
     def spec(self, name: str) -> Spec:
         return next(spec for spec in (*self.equipos, *self.later) if spec.name == name)
 
+    def _calls(self) -> object:
+        """Of a list of tiers: calls for each request of the tier above; of a graph, by caller and called."""
+        tiers = self.scenario.tiers
+        if self.scenario.chain:
+            return (1.0, *(mean for row in self.edges for _, mean in row))
+        return {
+            tiers[at].name: {tiers[to].name: mean for to, mean in row} for at, row in enumerate(self.edges)
+        }
+
     def lines(self) -> Iterator[bytes]:
         """The whole plan as JSON, one object a line."""
         encode = msgspec.json.Encoder(order="deterministic").encode
         head = {
             "plan": self.scenario.name,
             "seed": self.seed,
-            "calls": self.calls,
+            "calls": self._calls(),
             "try_share": self.try_share,
             "backoff_ms": self.backoff_ms,
             "honour": self.honour,
@@ -115,10 +126,7 @@
         seed=seed,
         equipos=equipos,
         later=later,
-        calls=tuple(
-            1.0 if at == 0 else _drawn(tier.calls, seed, "calls", tier.name)
-            for at, tier in enumerate(scenario.tiers)
-        ),
+        edges=_edges(scenario, seed),
         classes=classes,
         arrivals=tuple(_arrivals(scenario, seed, classes)),
         steps=tuple(steps),
@@ -146,23 +154,38 @@
     return float(rng.uniform(*value)) if isinstance(value, tuple) else value
 
 
+def targets(plan: Plan, tier: int, rng: np.random.Generator) -> tuple[int, ...]:
+    """The tiers that a request at this one calls, one call after the other."""
+    found: list[int] = []
+    for to, mean in plan.edges[tier]:
+        found += [to] * (int(mean) + int(rng.random() < mean - int(mean)))
+    return tuple(found)
+
+
 def stretches(
-    plan: Plan,
-    spec: Spec,
-    service: ClassFigures,
-    total_ms: float,
-    rngs: tuple[np.random.Generator, np.random.Generator],
+    plan: Plan, spec: Spec, service: ClassFigures, total_ms: float, rng: np.random.Generator, calls: int
 ) -> tuple[float, ...]:
-    """The work of a request at one equipo: stretches with a call to the next tier between each two. `rngs`: of the
-    attempt's noise, and of how often it calls."""
-    own = total_ms * plan.scenario.tiers[spec.tier].work * lognormal(rngs[0], service.attempt_noise)
-    calls = 0
-    if spec.tier + 1 < len(plan.scenario.tiers):
-        mean = plan.calls[spec.tier + 1]
-        calls = int(mean) + int(rngs[1].random() < mean - int(mean))
+    """The work of a request at one equipo: stretches with a call between each two. `rng`: of the attempt's noise."""
+    own = total_ms * plan.scenario.tiers[spec.tier].work * lognormal(rng, service.attempt_noise)
     return (own,) if not calls else (own / 2.0, *([0.0] * (calls - 1)), own / 2.0)
 
 
+def _edges(scenario: Scenario, seed: int) -> Edges:
+    rows: list[tuple[tuple[int, float], ...]] = []
+    known: set[str] = set()
+    for at, below in enumerate(scenario.called):
+        row = []
+        for number, to in enumerate(below):
+            tier, caller = scenario.tiers[to], scenario.tiers[at]
+            value = caller.call[number].times if isinstance(caller, ServiceTable) else tier.calls
+            # The first caller in the file draws as the tier above does in a list of tiers.
+            names = (tier.name, caller.name) if tier.name in known else (tier.name,)
+            row.append((to, _drawn(value, seed, "calls", *names)))
+            known.add(tier.name)
+        rows.append(tuple(row))
+    return tuple(rows)
+
+
 def _drawn(value: Range, seed: int, *names: object) -> float:
     if not isinstance(value, tuple):
         return float(value)
@@ -200,7 +223,10 @@
     name = f"{tier.name}-{number}{new}"
     speed = kind.speeds[one] if kind.speeds else drawn(kind.speed, "speed", kind.name, name)
     choke = tier.choke
-    cells = -(-sum(item.count for item in tier.kind) // tier.cell_size)
+    zones = tier.zones or scenario.zones
+    # Grupos lie within a zone: each zone has as many as the fullest needs.
+    fullest = math.ceil(sum(item.count for item in tier.kind) / len(zones))
+    cells = math.ceil(fullest / tier.cell_size)
 
     def of(value: Range, key: str) -> float:
         return drawn(value, key, kind.name)
@@ -209,8 +235,8 @@
         name=name,
         tier=at,
         kind=kind.name,
-        zone=scenario.zone,
-        cell=number % cells,
+        zone=zones[number % len(zones)],
+        cell=number % len(zones) * cells + number // len(zones) % cells,
         cores=kind.cores,
         speed=speed,
         slots=max(1, round(of(kind.slots, "slots"))),
@@ -298,8 +324,14 @@
     steps: list[Step] = []
     later: list[Spec] = []
     for at, trouble in enumerate(scenario.troubles):
-        tier = trouble.tier or scenario.tiers[0].name
-        names = [spec.name for spec in equipos if scenario.tiers[spec.tier].name == tier]
+        area = zones_of(scenario, trouble)
+        tier = trouble.where or scenario.tiers[0].name
+        names = [
+            spec.name
+            for spec in equipos
+            if spec.zone in area
+            and (scenario.tiers[spec.tier].name == tier or (not trouble.where and in_area(trouble)))
+        ]
         if trouble.kind in ("node-loss", "front-shift"):
             names = [f"n{number}" for number in range(scenario.nodes.count)]
         if trouble.fresh:
@@ -334,6 +366,17 @@
     return sorted(steps, key=lambda step: (step.at_ms, step.trouble)), tuple(later)
 
 
+def in_area(trouble: TroubleTable) -> bool:
+    return bool(trouble.zone or trouble.region)
+
+
+def zones_of(scenario: Scenario, trouble: TroubleTable) -> tuple[str, ...]:
+    """The zones that a trouble is held to; all where it names none."""
+    if trouble.zone:
+        return (trouble.zone,)
+    return next((row.zones for row in scenario.regions if row.name == trouble.region), scenario.zones)
+
+
 def _neighbour(
     seed: int, at: int, trouble: TroubleTable, on: tuple[str, ...], size: float, span: tuple[float, float]
 ) -> Iterator[Step]:
--- a/rosewheel/lab/retry.py
+++ b/rosewheel/lab/retry.py
@@ -7,7 +7,7 @@
 import numpy as np
 
 from rosewheel.lab.plan import Plan
-from rosewheel.lab.scenario import ClassTable
+from rosewheel.lab.tables import ClassTable
 
 REFUSALS = (429, 503)
 SLACK_MS = 50.0  # an answer may be this late to its caller's patience
--- a/rosewheel/lab/scenario.py
+++ b/rosewheel/lab/scenario.py
@@ -2,6 +2,9 @@
 
 A figure may be a number or a range `[low, high]`; a range is drawn by the seed when the plan is made. Times are in
 the unit that the key's ending tells. `base` names a scenario to build on: its tables hold where this one says nothing.
+
+Equipos stand either in a list of tiers, each of which calls the next, or in a graph of services (`service`), each of
+which says whom it calls. Everything else is the same for both.
 """
 
 from __future__ import annotations
@@ -15,15 +18,22 @@
 from msgspec import Meta
 
 from rosewheel.config.checked import KeyedError, Problem, ProblemsError, convert, places, tables, text_of
-
-Share = Annotated[float, Meta(ge=0, le=1)]
-Positive = Annotated[float, Meta(gt=0)]
-Natural = Annotated[float, Meta(ge=0)]
-Count = Annotated[int, Meta(ge=1)]
-Range = (
-    float | tuple[float, float]
-)  # its bounds are checked by the table: msgspec 0.23 crashes on them in a tuple
-Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,39}$")]
+from rosewheel.lab import graph
+from rosewheel.lab.tables import (
+    ClassTable,
+    Count,
+    Name,
+    Natural,
+    NetworkTable,
+    Positive,
+    Range,
+    RegionTable,
+    ServiceTable,
+    Share,
+    Table,
+    TierTable,
+    top,
+)
 
 TROUBLES = Literal[
     "slow",
@@ -43,7 +53,11 @@
     "discovery-storm",
     "front-shift",
     "retry-storm",
+    "loss",
+    "cut-off",
 ]
+OF_AREAS = ("loss", "cut-off")  # of a zone or a region, and of all that lies in it
+MAY_BE_IN_AN_AREA = (*OF_AREAS, "slow", "neighbour", "errors", "crash", "vanish")
 FAULTS = Literal["refuse", "reset", "silence", "delay", "half", "spoilt"]
 # Without an end: an equipo stays away, a node is started again at once.
 ENDLESS = ("crash", "node-crash", "node-upgrade", "node-loss")
@@ -59,109 +73,6 @@
 )
 
 
-class Table(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """One table of the file; unknown keys are errors."""
-
-    def _ordered(self, *keys: str) -> None:
-        """Ranges, or single figures in their place: none below zero, none that ends below its beginning."""
-        for key in keys:
-            value = getattr(self, key)
-            low, high = value if isinstance(value, tuple) else (value, value)
-            if not 0.0 <= low <= high < math.inf:
-                raise KeyedError(key, "not a number from zero up, or a range that ends below its beginning")
-
-
-class ClassTable(Table, frozen=True, kw_only=True):
-    name: Name
-    share: Positive  # of the requests; all shares together count as the whole
-    work_ms: Range  # mean work over all tiers, in ms of a yardstick core
-    cv: Range = 0.5  # of the work, from request to request
-    distribution: Literal["lognormal", "exp", "fixed"] = "lognormal"
-    attempt_noise: Range = 0.0  # cv of what the same request takes at one equipo or another
-    aim_ms: Positive = 2500.0
-    give_up_ms: Positive = 6000.0
-    worth: Natural = 1.0
-    effect: Literal["safe", "keyed", "unsafe"] = "unsafe"
-    group: Literal["all", "zone", "cell"] = "all"
-    memory_ms: Natural = 10000.0
-    body_bytes: Annotated[int, Meta(ge=0, le=32 << 20)] = 200
-    answer_bytes: Annotated[int, Meta(ge=1, le=32 << 20)] = 200
-
-    def __post_init__(self) -> None:
-        self._ordered("work_ms", "cv", "attempt_noise")
-        if self.aim_ms > self.give_up_ms:
-            raise KeyedError("aim_ms", "an answer is wanted after the client has given up")
-
-
-class ChokeTable(Table, frozen=True, kw_only=True):
-    """The lasting slowdown of an equipo with far more waiting than cores."""
-
-    at: Range = (4.0, 7.0)
-    over_s: Range = (1.5, 2.5)
-    slower: Range = (2.0, 3.5)
-    rest_s: Range = (2.4, 4.5)
-    below: Range = (0.25, 0.4)
-    most_s: Range = (16.0, 27.0)
-
-    def __post_init__(self) -> None:
-        self._ordered("at", "over_s", "slower", "rest_s", "below", "most_s")
-
-
-class KindTable(Table, frozen=True, kw_only=True):
-    name: Name
-    count: Annotated[int, Meta(ge=0)]
-    cores: Count = 2
-    speed: Range = 1.0
-    speeds: tuple[Positive, ...] = ()  # each equipo's own, in place of `speed`
-    slots: Range = (28, 66)
-    queue: Range = (3, 8)
-    thrash: Range = 0.0
-    knee: Range = (25.0, 44.0)
-    cold_from: Range = (0.12, 0.33)
-    cold_s: Range = (10.0, 24.0)
-    pause_every_s: Range = (2.2, 12.0)
-    pause_ms: Range = 0.0
-    pause_grow: Range = 0.0
-    error_rate: Range = 0.0
-
-    def __post_init__(self) -> None:
-        self._ordered("speed", "slots", "queue", "thrash", "knee", "cold_from", "cold_s")
-        self._ordered("pause_every_s", "pause_ms", "pause_grow", "error_rate")
-        if self.speeds and len(self.speeds) != self.count:
-            raise KeyedError("speeds", f"{len(self.speeds)} speeds for {self.count} equipos")
-
-
-class ReportTable(Table, frozen=True, kw_only=True):
-    """What answers tell of an equipo's queue."""
-
-    period_ms: Range = (57.0, 420.0)
-    delay_ms: Range = (24.0, 110.0)
-    noise: Range = (0.044, 0.18)
-    on: bool = True
-
-    def __post_init__(self) -> None:
-        self._ordered("period_ms", "delay_ms", "noise")
-
-
-class TierTable(Table, frozen=True, kw_only=True):
-    name: Name
-    work: Share  # the part of a request's work that this tier does
-    calls: Range = 1.0  # how often a request of the tier above calls this one, on average
-    cell_size: Count = 8
-    kind: tuple[KindTable, ...]
-    choke: ChokeTable | None = ChokeTable()
-    report: ReportTable = ReportTable()
-    connections_per_core: Range = (600.0, 900.0)
-    connection_tax: Range = (0.15, 0.31)
-    handshake_ms: Range = (0.95, 3.0)
-    probe_ms: Range = (0.045, 0.091)
-
-    def __post_init__(self) -> None:
-        self._ordered("calls", "connections_per_core", "connection_tax", "handshake_ms", "probe_ms")
-        if sum(kind.count for kind in self.kind) == 0:
-            raise KeyedError("kind", "a tier without equipos")
-
-
 class ClientsTable(Table, frozen=True, kw_only=True):
     rate_per_s: Positive
     shape: tuple[tuple[float, float], ...] = ()  # [part of the run, factor] points, joined by straight lines
@@ -225,7 +136,10 @@
     kind: TROUBLES
     at_s: Natural
     for_s: Range = 0.0
-    tier: str = ""  # whose equipos; empty: the first tier
+    tier: str = ""  # whose equipos; empty: the first tier, or all in the zone or region that is named
+    service: str = ""  # the same, by the word that a graph has for it
+    zone: str = ""  # of these equipos, only those that stand there
+    region: str = ""
     # of the tier's equipos; of the connections for `faults`; of the front's nodes for `node-loss` (those that die) and
     # `front-shift` (those that all clients are dealt to)
     part: Share = 1.0
@@ -246,8 +160,14 @@
     kills: Literal["", "starting", "new", "old"] = ""
     kill_ms: Range = 0.0  # how long after the new one was started, or the old one told to stop
 
+    @property
+    def where(self) -> str:
+        """The tier or service that it names, if any."""
+        return self.service or self.tier
+
     def __post_init__(self) -> None:
         self._ordered("for_s", "size", "on_s", "drain_s", "boot_s", "kill_ms")
+        self._check_area()
         if self.kills and self.kind != "node-upgrade":
             raise KeyedError("kills", f"no process is killed by a trouble of kind {self.kind}")
         if self.kind in NEEDS_SIZE and self.size == 0.0:
@@ -258,11 +178,28 @@
             raise KeyedError(
                 "fresh", f"a trouble of kind {self.kind} does not tell new equipos from old ones"
             )
-        if self.kind == "errors" and _top(self.size) > 1.0:
+        if self.kind == "errors" and top(self.size) > 1.0:
             raise KeyedError("size", "more than all of what comes")
-        if self.kind == "neighbour" and _top(self.size) >= 1.0:
+        if self.kind == "neighbour" and top(self.size) >= 1.0:
             raise KeyedError("size", "the other program leaves nothing")
 
+    def _check_area(self) -> None:
+        if self.tier and self.service:
+            raise KeyedError("service", "a tier is named as well")
+        if self.zone and self.region:
+            raise KeyedError("region", "a zone is named as well")
+        area = "zone" if self.zone else "region" if self.region else ""
+        if area and self.kind not in MAY_BE_IN_AN_AREA:
+            raise KeyedError(area, f"a trouble of kind {self.kind} is not held to a {area}")
+        if self.kind in OF_AREAS:
+            if not area:
+                raise KeyedError("zone", f"a trouble of kind {self.kind} needs a zone or a region")
+            if self.where or self.part != 1.0:
+                raise KeyedError(
+                    "part" if self.part != 1.0 else "service" if self.service else "tier",
+                    f"a trouble of kind {self.kind} befalls all that lies there",
+                )
+
 
 class Scenario(Table, frozen=True, kw_only=True):
     name: Name
@@ -273,7 +210,10 @@
     zone: str = "sala"
     passes_deadline: bool = True  # a call carries the time its caller has left
     classes: tuple[ClassTable, ...] = msgspec.field(name="class")
-    tiers: tuple[TierTable, ...] = msgspec.field(name="tier")
+    chain: tuple[TierTable, ...] = msgspec.field(name="tier", default=())
+    services: tuple[ServiceTable, ...] = msgspec.field(name="service", default=())
+    regions: tuple[RegionTable, ...] = msgspec.field(name="region", default=())
+    network: NetworkTable = NetworkTable()
     clients: ClientsTable
     nodes: NodesTable = NodesTable()
     discovery: DiscoveryTable = DiscoveryTable()
@@ -283,39 +223,108 @@
     def __post_init__(self) -> None:
         if not self.classes:
             raise KeyedError("class", "no class of requests")
+        if self.chain and self.services:
+            raise KeyedError("service", "a list of tiers stands in the file as well")
         if not self.tiers:
             raise KeyedError("tier", "no tier")
-        for key, names in (("class", self.classes), ("tier", self.tiers)):
+        key = "service" if self.services else "tier"
+        for path, names in (("class", self.classes), (key, self.tiers)):
             if len({item.name for item in names}) != len(names):
-                raise KeyedError(key, "a name stands twice")
+                raise KeyedError(path, "a name stands twice")
         for at, tier in enumerate(self.tiers):
             if tier.work == 0.0:
-                raise KeyedError(f"tier[{at}].work", "a tier that does nothing")
-            if at and _top(tier.calls) == 0.0:
-                raise KeyedError(f"tier[{at}].calls", f"a tier that nobody calls: {tier.name}")
+                raise KeyedError(f"{key}[{at}].work", f"a {key} that does nothing")
+            if at and top(tier.calls) == 0.0:
+                raise KeyedError(f"{key}[{at}].calls", f"a {key} that nobody calls: {tier.name}")
         total = sum(tier.work for tier in self.tiers)
         if abs(total - 1.0) > 0.01:
-            raise KeyedError("tier", f"the tiers together do {total:g} of the work, not 1")
+            raise KeyedError(key, f"the {key}s together do {total:g} of the work, not 1")
+        self._check_calls()
+        self._check_regions(key)
         if self.warm_up_s >= self.seconds:
             raise KeyedError("warm_up_s", "nothing is left of the run")
         for at, trouble in enumerate(self.troubles):
             self._check_trouble(f"trouble[{at}]", trouble)
 
+    @property
+    def tiers(self) -> tuple[TierTable, ...]:
+        """Tiers or services: whichever the file has."""
+        return self.chain or self.services
+
+    @property
+    def zones(self) -> tuple[str, ...]:
+        """All there are."""
+        return tuple(zone for region in self.regions for zone in region.zones) or (self.zone,)
+
+    @property
+    def called(self) -> list[list[int]]:
+        """By tier: those that it calls, in this order."""
+        if not self.services:
+            return [[at + 1] if at + 1 < len(self.chain) else [] for at in range(len(self.chain))]
+        place = {service.name: at for at, service in enumerate(self.services)}
+        return [[place[call.to] for call in service.call] for service in self.services]
+
+    def _check_calls(self) -> None:
+        names = [service.name for service in self.services]
+        for at, service in enumerate(self.services):
+            for number, call in enumerate(service.call):
+                path = f"service[{at}].call[{number}].to"
+                if call.to not in names:
+                    raise KeyedError(path, f"no service is called {call.to!r}")
+                if any(call.to == one.to for one in service.call[:number]):
+                    raise KeyedError(path, f"{call.to} is called above already: say `times`")
+        if not self.services:
+            return
+        try:
+            deep = graph.levels(self.called)
+        except graph.CircleError as error:
+            way = [names[at] for at in error.circle]
+            at = error.circle[0]
+            number = [call.to for call in self.services[at].call].index(way[1])
+            # Not a bounded depth: a slot is held for as long as the call below it takes, so a circle can hold all
+            # its slots with calls that wait for one.
+            raise KeyedError(
+                f"service[{at}].call[{number}].to", f"calls in a circle: {' -> '.join(way)}"
+            ) from error
+        for at, level in enumerate(deep):
+            if level == 0:
+                raise KeyedError(f"service[{at}].name", f"a service that nobody calls: {names[at]}")
+            if level > graph.MOST_DEEP:
+                raise KeyedError(f"service[{at}].name", f"{level} deep; {graph.MOST_DEEP} at most")
+
+    def _check_regions(self, key: str) -> None:
+        zones = [zone for region in self.regions for zone in region.zones]
+        for path, names in (("name", [region.name for region in self.regions]), ("zones", zones)):
+            for at in range(len(self.regions)):
+                if len(set(names)) != len(names):
+                    raise KeyedError(f"region[{at}].{path}", "a name stands twice")
+        for at, tier in enumerate(self.tiers):
+            for zone in tier.zones:
+                if zone not in zones:
+                    raise KeyedError(f"{key}[{at}].zones", f"no zone is called {zone!r}")
+            if len(set(tier.zones)) != len(tier.zones):
+                raise KeyedError(f"{key}[{at}].zones", "a name stands twice")
+        for at, row in enumerate(self.classes):
+            # What equipos remember is kept by grupo here; for a whole zone it would have to be by zone.
+            if len(zones) > 1 and row.effect == "keyed" and row.group == "zone":
+                raise KeyedError(f"class[{at}].group", "keys kept by zone are not played with several zones")
+
     def _check_trouble(self, path: str, trouble: TroubleTable) -> None:
         if trouble.at_s >= self.seconds:
             raise KeyedError(f"{path}.at_s", f"after the end of the run ({self.seconds:g} s)")
-        if trouble.tier and trouble.tier not in {tier.name for tier in self.tiers}:
-            raise KeyedError(f"{path}.tier", f"no tier is called {trouble.tier!r}")
+        key = "service" if trouble.service else "tier"
+        if trouble.where and trouble.where not in {tier.name for tier in self.tiers}:
+            raise KeyedError(f"{path}.{key}", f"no {key} is called {trouble.where!r}")
+        if trouble.zone and trouble.zone not in self.zones:
+            raise KeyedError(f"{path}.zone", f"no zone is called {trouble.zone!r}")
+        if trouble.region and trouble.region not in {region.name for region in self.regions}:
+            raise KeyedError(f"{path}.region", f"no region is called {trouble.region!r}")
         if trouble.kind in ("node-crash", "node-upgrade") and trouble.node >= self.nodes.count:
             raise KeyedError(f"{path}.node", f"there are {self.nodes.count} nodes, counted from 0")
-        if trouble.kind not in ENDLESS and _top(trouble.for_s) == 0.0:
+        if trouble.kind not in ENDLESS and top(trouble.for_s) == 0.0:
             raise KeyedError(f"{path}.for_s", "it lasts no time")
 
 
-def _top(value: Range) -> float:
-    return value[1] if isinstance(value, tuple) else value
-
-
 SHIPPED = Path(__file__).parent / "scenarios"
 
 
@@ -356,6 +365,9 @@
 def _merged(base: dict[str, Any], rows: dict[str, Any]) -> dict[str, Any]:
     """Tables key by key, all else (lists of tables as well) as the newer one has it."""
     both = dict(base)
+    for key, other in (("tier", "service"), ("service", "tier")):
+        if key in rows and other not in rows:  # a graph in place of a list of tiers, or the other way round
+            both.pop(other, None)
     for key, value in rows.items():
         old = both.get(key)
         both[key] = _merged(old, value) if isinstance(old, dict) and isinstance(value, dict) else value
--- a/rosewheel/lab/virtual/clients.py
+++ b/rosewheel/lab/virtual/clients.py
@@ -7,8 +7,8 @@
 
 from rosewheel.lab.plan import Arrival, Plan
 from rosewheel.lab.retry import SLACK_MS, Verdict, wait_ms
-from rosewheel.lab.scenario import ClassTable
 from rosewheel.lab.streams import stream
+from rosewheel.lab.tables import ClassTable
 from rosewheel.lab.virtual.events import Queue, Row
 from rosewheel.lab.virtual.node import Call, VirtualNode
 
--- a/rosewheel/lab/virtual/discovery.py
+++ b/rosewheel/lab/virtual/discovery.py
@@ -28,6 +28,7 @@
         self.entries = dict(truth)
         self.news: list[Server] = []  # learned and not told yet
         self.stalled = False
+        self.cut = False  # its machine is cut off
         self.open = True
         self.free_ms = 0.0  # changes come in order: none is learned before this
 
@@ -40,7 +41,7 @@
         self.tell()
 
     def tell(self) -> None:
-        if self.stalled or not self.open or not self.news:
+        if self.stalled or self.cut or not self.open or not self.news:
             return
         news, self.news = self.news, []
         for entry in news:
@@ -113,6 +114,24 @@
             if not on:  # its node had given the watch up and tries again now and then
                 agent.reopen(float(self.rng.uniform(0.0, GRACE_MS / REWATCH_MOST_PART)))
 
+    def cut(self, zones: frozenset[str]) -> None:
+        """These zones are cut off: agents there hear nothing, the others hear that what lies there is gone."""
+        for agent in self.agents.values():
+            agent.cut = agent.cut or agent.node.zone in zones
+        for entry in list(self.truth.values()):
+            if entry.zone in zones:
+                self.restate(entry.address, ServerState.REMOVED, "silent")
+
+    def mend(self, zones: frozenset[str], back: list[Server]) -> None:
+        """They are not any more; `back`: what has run there all the while. Agents there never hear that it was gone."""
+        for agent in self.agents.values():
+            if agent.node.zone in zones:
+                agent.news = [entry for entry in agent.news if entry.zone not in zones]
+                agent.cut = False
+                agent.tell()
+        for entry in back:
+            self.set(entry, "add")
+
     def break_off(self) -> None:
         for agent in self.agents.values():
             agent.reopen(float(self.rng.uniform(0.6, 1.0)) * GRACE_MS / REWATCH_PART)
--- a/rosewheel/lab/virtual/host.py
+++ b/rosewheel/lab/virtual/host.py
@@ -12,7 +12,7 @@
 from rosewheel.lab import equipo as model
 from rosewheel.lab.host import Fault
 from rosewheel.lab.virtual.events import Queue
-from rosewheel.lab.virtual.network import HOP_MS, Exchange, Link
+from rosewheel.lab.virtual.network import Exchange, Link
 
 Report = dict[str, float]
 
@@ -28,6 +28,7 @@
     came_ms: float
     deadline_ms: float
     wanted: bool = True  # False: whoever asked has gone
+    targets: tuple[int, ...] = ()  # the tiers that it calls, one call after the other
 
 
 class Owner(Protocol):
@@ -125,7 +126,7 @@
             return
         told = result is not Result.RESET and self.reports
         report = {"queue": round(self.model.report(self.queue.now), 3)} if told else None
-        self.queue.after(HOP_MS, link.node.returned, exchange, result, report, keep)
+        self.queue.after(link.way_ms, link.node.returned, exchange, result, report, keep)
 
     def probe(self) -> tuple[Result, Report | None]:
         """A health call: nothing vanished answers one, nor what does not listen."""
@@ -144,7 +145,7 @@
         if link.work is not None:
             link.work.wanted = False
         self.model.disconnect(self.queue.now)
-        self.queue.after(HOP_MS, link.node.broken, link)
+        self.queue.after(link.way_ms, link.node.broken, link)
 
     # --------------------------------------------------------------- troubles
 
@@ -177,6 +178,22 @@
             link.silent = False
             self.break_off(link)
 
+    def lose(self) -> None:
+        """The machine is lost with all it held: as cut off, but nothing goes on there."""
+        self.vanish()
+        self.model.stop(self.queue.now)
+        if self.listening:
+            self.up_ms += self.queue.now - self.since_ms
+        self.listening = False
+        self.work.clear()
+
+    def cut(self, silent: bool, links: list[Link]) -> None:
+        """A cut of the network that these connections cross begins, or is over: then they are reset."""
+        for link in links:
+            link.silent = silent or self.vanished
+            if not link.silent:
+                self.break_off(link)
+
     def die(self) -> None:
         """The process is gone: connections reset, new ones refused, and all it held with it."""
         self.model.stop(self.queue.now)
--- a/rosewheel/lab/virtual/network.py
+++ b/rosewheel/lab/virtual/network.py
@@ -31,6 +31,7 @@
     silent: bool = False  # a fault: whatever is sent, nothing is said
     fault: Fault | None = None
     used: int = 0  # requests so far
+    way_ms: float = HOP_MS  # from one end to the other
     work: Work | None = None  # what the host works on for it
     exchange: Exchange | None = None
 
--- a/rosewheel/lab/virtual/node.py
+++ b/rosewheel/lab/virtual/node.py
@@ -16,6 +16,7 @@
 from rosewheel.decide.policy import FEW
 from rosewheel.http.equipos import IDLE_PART, SETTLE_S, SILENT_S, SWEEP_S
 from rosewheel.lab.retry import Verdict
+from rosewheel.lab.virtual.areas import Areas
 from rosewheel.lab.virtual.events import Queue
 from rosewheel.lab.virtual.host import Host, Report
 from rosewheel.lab.virtual.network import HOP_MS, Exchange, Link, Pool
@@ -52,6 +53,7 @@
 
     queue: Queue
     hosts: dict[str, Host]
+    areas: Areas
 
     def answered_by(self, node: VirtualNode, exchange: Exchange, result: Result) -> None:
         """How an attempt ended, as its node sees it."""
@@ -62,7 +64,7 @@
         self, world: Hosts, name: str, tier: int, settings: Settings, bounds: Bounds, seed: int
     ) -> None:
         self.world, self.name, self.tier, self.bounds = world, name, tier, bounds
-        self.queue = world.queue
+        self.queue, self.zone = world.queue, settings.zone
         self.node = Node(settings, bounds, seed, self.queue.now)
         self.calls: dict[str, Call] = {}
         self.pools: dict[str, Pool] = {}
@@ -185,18 +187,26 @@
             self.queue.after(0.0, self._failed, exchange)
             return
         self.coming += 1
-        wait = self.bounds.connect_timeout_ms if host.vanished else 2.0 * HOP_MS
+        silent = host.vanished or self._apart(host)
+        wait = self.bounds.connect_timeout_ms if silent else 2.0 * self._way_ms(host)
         self.queue.after(wait, self._opened, server, pool, host, exchange)
 
+    def _way_ms(self, host: Host) -> float:
+        return self.world.areas.way_ms(self.zone, host.spec.zone)
+
+    def _apart(self, host: Host) -> bool:
+        return self.world.areas.apart(self.zone, host.spec.zone)
+
     def _opened(self, server: str, pool: Pool, host: Host, exchange: Exchange) -> None:
         self.coming -= 1
         if self.dead or exchange.over:
             return
         # The server may have left, or moved, while the connection came up.
-        if host.vanished or not host.listening or self.pools.get(server) is not pool or not pool.up:
+        there = not host.vanished and host.listening and not self._apart(host)
+        if not there or self.pools.get(server) is not pool or not pool.up:
             self._failed(exchange)
             return
-        link = Link(host, self)
+        link = Link(host, self, way_ms=self._way_ms(host))
         self.links[link] = None
         host.made(link)
         self._send(link, exchange)
@@ -210,7 +220,7 @@
         self.node.figures.tried()
         link.exchange, exchange.link = exchange, link
         link.used += 1
-        self.queue.after(HOP_MS, link.host.asked, link, exchange)
+        self.queue.after(link.way_ms, link.host.asked, link, exchange)
 
     def returned(self, exchange: Exchange, result: Result, report: Report | None, keep: bool) -> None:
         """An answer has come, or a connection has ended in its stead."""
@@ -291,7 +301,7 @@
         self.idle.pop(link, None)
         del self.links[link]
         if not link.dead:
-            self.queue.after(HOP_MS, link.host.lost, link)
+            self.queue.after(link.way_ms, link.host.lost, link)
 
     def _retire(self, pool: Pool) -> None:
         idle, pool.idle = pool.idle, []
@@ -311,12 +321,14 @@
     # ------------------------------------------------------------------ probes
 
     def _probe(self, server: str) -> None:
-        self.queue.after(HOP_MS, self._probes, server, self.queue.now)
+        host = self.world.hosts.get(server)
+        way = HOP_MS if host is None else self._way_ms(host)
+        self.queue.after(way, self._probes, server, self.queue.now)
 
     def _probes(self, server: str, began: float) -> None:
         host = self.world.hosts.get(server)
-        result, report, wait = Result.CONNECT_FAILED, None, HOP_MS
-        if host is not None and host.vanished:
+        result, report, wait = Result.CONNECT_FAILED, None, HOP_MS if host is None else self._way_ms(host)
+        if host is not None and (host.vanished or self._apart(host)):
             result, wait = Result.TIMEOUT, self.bounds.probe_timeout_ms
         elif host is not None and host.listening:
             result, report = host.probe()
--- a/rosewheel/lab/virtual/world.py
+++ b/rosewheel/lab/virtual/world.py
@@ -12,13 +12,15 @@
 from rosewheel.lab import rows
 from rosewheel.lab.host import Fault
 from rosewheel.lab.nodes import settings
-from rosewheel.lab.plan import Plan, Step, stretches
+from rosewheel.lab.plan import Plan, Step, stretches, targets
 from rosewheel.lab.retry import Verdict
 from rosewheel.lab.streams import stream
+from rosewheel.lab.virtual.areas import Areas
 from rosewheel.lab.virtual.clients import Front
 from rosewheel.lab.virtual.discovery import Registry
 from rosewheel.lab.virtual.events import Queue
 from rosewheel.lab.virtual.host import Host, Work
+from rosewheel.lab.virtual.losses import Losses
 from rosewheel.lab.virtual.network import Exchange, Link
 from rosewheel.lab.virtual.node import Call, VirtualNode
 from rosewheel.node.bounds import Bounds
@@ -44,7 +46,11 @@
         self.results: list[Counter[Result]] = [Counter() for _ in scenario.tiers]  # of attempts, by tier
         self.sent = [0] * len(scenario.tiers)  # requests that came to equipos
         self.served = [0] * len(scenario.tiers)
-        self.companions: dict[str, VirtualNode] = {}
+        self.areas = Areas(scenario)
+        self.companions: dict[
+            tuple[str, int], VirtualNode
+        ] = {}  # by equipo, and the tier that it calls by it
+        self._losses = Losses(self)
         self.nodes: dict[str, VirtualNode] = {}
         self.registries = [
             Registry(
@@ -58,7 +64,7 @@
         ]
         self._noise = stream(plan.seed, "run", "noise")
         self._calls = stream(plan.seed, "run", "calls")
-        self._settings: dict[tuple[int, int], Settings] = {}
+        self._settings: dict[tuple[int, int, str], Settings] = {}
         self._bounds = Bounds(
             conn_idle_ms=30000.0,
             second_copies=scenario.nodes.second_copies,
@@ -81,12 +87,18 @@
             wait = float(rng.uniform(0.0, spread))
             self.queue.after(wait, self._front_starts, f"n{number}")
         for spec in self.plan.equipos:
-            if spec.tier + 1 < len(self.plan.scenario.tiers):
-                self.queue.after(float(rng.uniform(0.0, spread)), self._companion, spec)
+            if self.plan.edges[spec.tier]:
+                self.queue.after(float(rng.uniform(0.0, spread)), self._companions, spec)
         self.queue.after(spread, ready)
 
     def _front_starts(self, name: str) -> None:
-        self.nodes[name] = self._node(name, 0, self.plan.scenario.nodes.count)
+        self.nodes[name] = self._front_node(name)
+
+    def _front_node(self, name: str) -> VirtualNode:
+        """They stand in the zones of the first tier, in turn."""
+        scenario = self.plan.scenario
+        zones = scenario.tiers[0].zones or scenario.zones
+        return self._node(name, 0, scenario.nodes.count, zones[int(name[1:]) % len(zones)])
 
     # ------------------------------------------------------------------ fleet
 
@@ -98,22 +110,32 @@
         self.grupos.setdefault((spec.tier, spec.cell), []).append(host)
         return host
 
-    def _node(self, name: str, tier: int, siblings: int) -> VirtualNode:
-        told = self._settings.get((tier, siblings))
+    def _node(self, name: str, tier: int, siblings: int, zone: str) -> VirtualNode:
+        told = self._settings.get((tier, siblings, zone))
         if told is None:
-            told = self._settings[tier, siblings] = settings_from(settings(self.plan, tier, siblings))
+            told = settings_from(settings(self.plan, tier, siblings, zone))
+            self._settings[tier, siblings, zone] = told
         self._processes += 1
         seed = int(stream(self.plan.seed, "node", name, self._processes).integers(1 << 62))
         node = VirtualNode(self, name, tier, told, self._bounds, seed)
         self.registries[tier].add(node)
         return node
 
-    def _companion(self, spec: model.Spec) -> None:
-        """The node through which this equipo calls the next tier."""
-        tier = spec.tier + 1
-        if tier < len(self.plan.scenario.tiers):
-            siblings = sum(1 for one in self.plan.equipos if one.tier == spec.tier)
-            self.companions[spec.name] = self._node(f"n-{spec.name}", tier, siblings)
+    def _companions(self, spec: model.Spec) -> None:
+        """The nodes through which this equipo calls: one for each tier that it calls."""
+        edges, tiers = self.plan.edges, self.plan.scenario.tiers
+        for number, (tier, _) in enumerate(edges[spec.tier]):
+            callers = {at for at, row in enumerate(edges) if any(to == tier for to, _ in row)}
+            siblings = sum(1 for one in self.plan.equipos if one.tier in callers)
+            name = f"n-{spec.name}-{tiers[tier].name}" if number else f"n-{spec.name}"
+            self.companions[spec.name, tier] = self._node(name, tier, siblings, spec.zone)
+
+    def end_companions(self, spec: model.Spec) -> None:
+        for tier, _ in self.plan.edges[spec.tier]:
+            node = self.companions.pop((spec.name, tier), None)
+            if node is not None:
+                node.kill()
+                self.registries[node.tier].drop(node)
 
     def _told(self, node: str, entry: Server) -> None:
         self.told[node, entry.address] = (entry.state, self.queue.now)
@@ -128,9 +150,9 @@
         """A request at an equipo: how much work it will be there."""
         call, spec = exchange.call, host.spec
         table = self.tables[call.service]
-        work = stretches(
-            self.plan, spec, self.figures[call.service], call.work_ms, (self._noise, self._calls)
-        )
+        called = targets(self.plan, spec.tier, self._calls)
+        figures = self.figures[call.service]
+        work = stretches(self.plan, spec, figures, call.work_ms, self._noise, len(called))
         if link.used == 1:
             work = (work[0] + spec.handshake_ms, *work[1:])
         self._next += 1
@@ -140,7 +162,8 @@
         job = model.Job(self._next, work, key, table.memory_ms, told=told is not None)
         if told is not None and told[0] is not ServerState.UP:
             self._late(host, link, call, told)
-        return Work(host, link, exchange, job, self.queue.now, self.queue.now + exchange.timeout_ms)
+        now = self.queue.now
+        return Work(host, link, exchange, job, now, now + exchange.timeout_ms, targets=called)
 
     def _late(self, host: Host, link: Link, call: Call, told: tuple[ServerState, float]) -> None:
         """Something new has come to an equipo of which its node had been told that it drains or is gone."""
@@ -176,7 +199,7 @@
             work.host.model.joined_ended(id)
         if verdict is model.Verdict.SERVED:
             self.served[work.host.spec.tier] += 1
-        self._record(work, verdict.value)
+        self.record(work, verdict.value)
         work.host.reply(work, verdict)
 
     def _elsewhere(self, here: Host, id: int) -> Work | None:
@@ -186,7 +209,7 @@
                 return work
         return None
 
-    def _record(self, work: Work, verdict: str) -> None:
+    def record(self, work: Work, verdict: str) -> None:
         """How a request ended at an equipo, and whether its work had begun there."""
         call = work.exchange.call
         asked = (work.link.node.name, call.service, call.op, call.rid)
@@ -196,8 +219,8 @@
         self.write("equipos", row)
 
     def _call(self, host: Host, work: Work, number: int) -> None:
-        """One call to the next tier, through the equipo's own node."""
-        above, node = work.exchange.call, self.companions.get(host.spec.name)
+        """One call to another tier, through the equipo's own node for it."""
+        above, node = work.exchange.call, self.companions.get((host.spec.name, work.targets[number]))
         table = self.tables[above.service]
         left = work.deadline_ms - self.queue.now if self.plan.scenario.passes_deadline else table.give_up_ms
         model_then = host.model
@@ -271,17 +294,21 @@
                     if begins:
                         self._crash(host)
                     else:
-                        self._launch(host)
+                        self.launch(host)
             case "vanish":
                 for host in on:
                     self._vanish(host, begins, trouble.cold)
             case "node-crash" | "node-loss":
                 names = step.equipos if trouble.kind == "node-loss" else (f"n{trouble.node}",)
                 for name in names if begins else ():
-                    self._node_dies(name, front, self._length_ms(step))
+                    self.node_dies(name, front, self.length_ms(step))
             case "node-upgrade":
                 if begins:
                     self._upgrade(f"n{trouble.node}", front)
+            case "loss":
+                self._losses.loss(step, front, begins)
+            case "cut-off":
+                self._losses.cut(step, begins)
             case "front-shift":
                 front.only = step.equipos if begins else ()
                 front.changed()
@@ -295,19 +322,21 @@
                 self.registries[host.spec.tier].restate(host.spec.name, ServerState.DRAINING, "drain")
         elif step.what == "stop":
             for host in on:
-                self._gone(host, "stop")
+                self.gone(host, "stop")
         else:
             for name in step.equipos:
                 host = self._host(self.specs[name], cold=True)
-                self._launch(host)
+                self.launch(host)
 
-    def _launch(self, host: Host) -> None:
+    def launch(self, host: Host) -> None:
         """Its node first, then it takes work and the list is told."""
         self.queue.after(START_MS, self._launched, host)
 
     def _launched(self, host: Host) -> None:
+        if host.listening and host.model.state is not model.State.DOWN:
+            return  # two troubles have started it
         spec = host.spec
-        self._companion(spec)
+        self._companions(spec)
         host.start()
         self.registries[spec.tier].set(
             Server(spec.name, spec.zone, spec.cell, launched_ms=self.queue.now), "add"
@@ -315,7 +344,7 @@
 
     def _fault_step(self, step: Step, begins: bool) -> None:
         trouble = self.plan.scenario.troubles[step.trouble]
-        tier = trouble.tier or self.plan.scenario.tiers[0].name
+        tier = trouble.where or self.plan.scenario.tiers[0].name
         for name, host in self.hosts.items():
             if self.plan.scenario.tiers[host.spec.tier].name != tier:
                 continue
@@ -329,17 +358,14 @@
                 host.end_fault(step.trouble)
 
     def _crash(self, host: Host) -> None:
-        self._gone(host, "silent")
+        self.gone(host, "silent")
 
-    def _gone(self, host: Host, change: str) -> None:
+    def gone(self, host: Host, change: str) -> None:
         """The process ends, and its node with it."""
         for work in host.work.values():
-            self._record(work, "lost")
+            self.record(work, "lost")
         host.die()
-        node = self.companions.pop(host.spec.name, None)
-        if node is not None:
-            node.kill()
-            self.registries[node.tier].drop(node)
+        self.end_companions(host.spec)
         self.registries[host.spec.tier].restate(host.spec.name, ServerState.REMOVED, change)
 
     def _vanish(self, host: Host, begins: bool, cold: bool) -> None:
@@ -348,23 +374,26 @@
             host.vanish()
             self.registries[spec.tier].restate(spec.name, ServerState.REMOVED, "silent")
         elif cold:
-            self._gone(host, "silent")
-            self._launch(host)
+            self.gone(host, "silent")
+            self.launch(host)
         else:
             host.reappear()
-            started = host.model.started_ms if host.model.started_ms > 0.0 else None
-            self.registries[spec.tier].set(
-                Server(spec.name, spec.zone, spec.cell, launched_ms=started), "add"
-            )
+            self.registries[spec.tier].set(self.entry(host), "add")
+
+    @staticmethod
+    def entry(host: Host) -> Server:
+        """What discovery says of one that has run on."""
+        spec, started = host.spec, host.model.started_ms
+        return Server(spec.name, spec.zone, spec.cell, launched_ms=started if started > 0.0 else None)
 
     # ------------------------------------------------------- the front's nodes
 
-    def _length_ms(self, step: Step) -> float:
+    def length_ms(self, step: Step) -> float:
         """From this step to the end of its trouble; 0 where it has none."""
         ends = [one.at_ms for one in self.plan.steps if one.trouble == step.trouble and one.what == "end"]
         return ends[0] - step.at_ms if ends else 0.0
 
-    def _node_dies(self, name: str, front: Front, down_ms: float) -> None:
+    def node_dies(self, name: str, front: Front, down_ms: float) -> None:
         old = self.nodes[name]
         if old.dead:
             return
@@ -387,7 +416,7 @@
         old = self.nodes[name]
         if old.dead:
             return
-        new = self._node(name, 0, self.plan.scenario.nodes.count)
+        new = self._front_node(name)
         if self.plan.scenario.nodes.keeps:
             new.recall(old.node.learned(self.queue.now), 0.0)
         for one in (old, new):
--- /dev/null
+++ b/tests/test_graph.py
@@ -0,0 +1,470 @@
+"""Services that call one another, zones and regions: what a file may say, and what virtual time makes of it."""
+
+from __future__ import annotations
+
+import itertools
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rosewheel.cli.main import main
+from rosewheel.config.checked import ProblemsError, parse
+from rosewheel.lab import experiment, graph, plan, records, scenario
+from rosewheel.lab.graph import CircleError
+from rosewheel.lab.scenario import Scenario
+from rosewheel.lab.virtual.areas import Areas
+from rosewheel.lab.virtual.host import Host
+from rosewheel.lab.virtual.network import HOP_MS
+from rosewheel.lab.virtual.simulate import Simulation, simulate
+
+SHORT = settings(max_examples=25, deadline=None, derandomize=True)
+
+GOOD = """
+name = "small"
+seconds = 20
+[[class]]
+name = "post"
+share = 1
+work_ms = 100
+[clients]
+rate_per_s = 30
+[[region]]
+name = "sur"
+zones = ["sur-a", "sur-b"]
+[[region]]
+name = "norte"
+zones = ["norte-a"]
+[network]
+between_zones_ms = 1
+between_regions_ms = 8
+[[service]]
+name = "entrada"
+work = 0.4
+kind = [{ name = "a", count = 6 }]
+[[service.call]]
+to = "albumes"
+times = [1, 1.5]
+[[service.call]]
+to = "perfiles"
+times = 0.3
+[[service]]
+name = "albumes"
+work = 0.2
+kind = [{ name = "a", count = 3 }]
+[[service.call]]
+to = "archivo"
+[[service]]
+name = "perfiles"
+work = 0.2
+kind = [{ name = "a", count = 3 }]
+[[service.call]]
+to = "archivo"
+times = 2
+[[service]]
+name = "archivo"
+work = 0.2
+zones = ["sur-a", "norte-a"]
+kind = [{ name = "a", count = 4 }]
+[[trouble]]
+kind = "loss"
+at_s = 5
+for_s = 6
+region = "norte"
+[[trouble]]
+kind = "errors"
+at_s = 5
+for_s = 6
+size = 0.9
+service = "archivo"
+zone = "sur-a"
+"""
+
+# ---------------------------------------------------------------------- files
+
+
+def problems(text: str) -> list[str]:
+    with pytest.raises(ProblemsError) as caught:
+        parse(text, Scenario, "s")
+    return caught.value.lines()
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "said"),
+    [
+        ('to = "perfiles"', 'to = "nadie"', "service[0].call[1].to: no service is called 'nadie'"),
+        ('to = "perfiles"', 'to = "albumes"', "service[0].call[1].to: albumes is called above already"),
+        ("times = 0.3", "times = 0", "service[0].call[1].times: a call that is never made"),
+        ("times = 0.3", "times = -1", "service[0].call[1].times: not a number from zero up"),
+        ("times = 0.3", "often = 1", "service[0].call[1].often: unknown key"),
+        (
+            'zones = ["sur-a", "norte-a"]\nkind = [{ name = "a", count = 4 }]',
+            'kind = [{ name = "a", count = 4 }]\n[[service.call]]\nto = "albumes"',
+            "service[1].call[0].to: calls in a circle: albumes -> archivo -> albumes",
+        ),
+        (
+            '[[service.call]]\nto = "albumes"\ntimes = [1, 1.5]\n',
+            "",
+            "service[1].name: a service that nobody calls: albumes",
+        ),
+        ('name = "perfiles"\n', 'name = "albumes"\n', "service: a name stands twice"),
+        ("work = 0.4", "work = 0.4\ncalls = 2", "service[0].calls: a service says whom it calls"),
+        ("work = 0.4", "work = 0.5", "service: the services together do 1.1 of the work"),
+        ('zones = ["norte-a"]', 'zones = ["sur-a"]', "region[0].zones: a name stands twice"),
+        ('zones = ["norte-a"]', "zones = []", "region[1].zones: a region without zones"),
+        ('name = "norte"', 'name = "sur"', "region[0].name: a name stands twice"),
+        ('"sur-a", "norte-a"]', '"sur-a", "este"]', "service[3].zones: no zone is called 'este'"),
+        ('region = "norte"', 'region = "este"', "trouble[0].region: no region is called 'este'"),
+        ('region = "norte"', "", "trouble[0].zone: a trouble of kind loss needs a zone or a region"),
+        (
+            'region = "norte"',
+            'region = "norte"\npart = 0.5',
+            "trouble[0].part: a trouble of kind loss befalls",
+        ),
+        (
+            'region = "norte"',
+            'region = "norte"\nservice = "albumes"',
+            "trouble[0].service: a trouble of kind",
+        ),
+        ('zone = "sur-a"', 'zone = "sur-c"', "trouble[1].zone: no zone is called 'sur-c'"),
+        ('zone = "sur-a"', 'zone = "sur-a"\nregion = "sur"', "trouble[1].region: a zone is named as well"),
+        ('service = "archivo"', 'service = "x"', "trouble[1].service: no service is called 'x'"),
+        (
+            'service = "archivo"',
+            'service = "archivo"\ntier = "archivo"',
+            "trouble[1].service: a tier is named",
+        ),
+        (
+            'kind = "errors"',
+            'kind = "deploy"',
+            "trouble[1].zone: a trouble of kind deploy is not held to a zone",
+        ),
+        ("between_zones_ms = 1", "between_zones_ms = 9", "network.between_zones_ms: not between"),
+        ("between_zones_ms = 1", "between_zones_ms = -1", "network.between_zones_ms: Expected"),
+        (
+            "work_ms = 100",
+            'work_ms = 100\neffect = "keyed"\ngroup = "zone"',
+            "class[0].group: keys kept by zone are not played with several zones",
+        ),
+    ],
+)
+def test_a_bad_graph_is_said_in_one_line_with_its_key(old: str, new: str, said: str) -> None:
+    assert GOOD.count(old) >= 1
+    lines = problems(GOOD.replace(old, new, 1))
+    assert len(lines) == 1
+    assert said in lines[0]
+
+
+def test_a_graph_and_a_list_of_tiers_are_not_both_taken() -> None:
+    tier = '[[tier]]\nname = "x"\nwork = 1\nkind = [{ name = "a", count = 1 }]\n'
+    assert problems(GOOD + tier) == ["s: line 19: service: a list of tiers stands in the file as well"]
+
+
+def test_a_graph_stands_in_place_of_the_tiers_that_it_builds_on(tmp_path: Path) -> None:
+    path = tmp_path / "graph.toml"
+    path.write_text('base = "three-tiers"\n' + GOOD[: GOOD.index("[[trouble]]")].replace("\n\n", "\n"))
+    assert [row.name for row in scenario.load(str(path)).tiers] == [
+        "entrada",
+        "albumes",
+        "perfiles",
+        "archivo",
+    ]
+
+
+def test_twenty_levels_are_taken_and_one_more_is_not() -> None:
+    assert max(graph.levels(chain(20).called)) == 20
+    with pytest.raises(msgspec.ValidationError, match="21 deep; 20 at most"):
+        chain(21)
+
+
+@pytest.mark.parametrize("name", ["graph-chain", "graph-diamond", "graph-zone", "graph-region"])
+def test_sockets_refuse_a_graph_in_one_line_with_its_key(name: str) -> None:
+    for verb in ("experiment", "emulate"):
+        got = CliRunner().invoke(main, [verb, name])
+        assert got.exit_code == 2
+        assert got.output.count("\n") == 1
+        assert f"{name}: " in got.output
+        assert "`simulate` plays them" in got.output
+
+
+def test_sockets_refuse_the_loss_of_the_only_zone() -> None:
+    told = {"kind": "loss", "zone": "sala", "at_s": 1.0, "for_s": 1.0}
+    quiet = scenario.load("quiet", {"trouble": [told]})
+    with pytest.raises(ProblemsError, match=r"trouble\[0\].kind: services, regions"):
+        experiment.check(quiet)
+
+
+# --------------------------------------------------------------------- shapes
+
+
+@given(st.lists(st.sets(st.integers(0, 9)), min_size=10, max_size=10))
+def test_an_order_has_each_caller_first_or_there_is_a_circle(called: list[set[int]]) -> None:
+    rows = [sorted(row) for row in called]
+    try:
+        found = graph.order(rows)
+    except CircleError as error:
+        way = error.circle
+        assert way[0] == way[-1]
+        assert all(to in rows[at] for at, to in itertools.pairwise(way))
+        return
+    place = {at: number for number, at in enumerate(found)}
+    assert sorted(found) == list(range(10))
+    assert all(place[at] < place[to] for at, row in enumerate(rows) for to in row)
+
+
+def test_visits_are_counted_over_all_ways() -> None:
+    edges = (((1, 1.0), (2, 0.5)), ((3, 2.0),), ((3, 1.0),), ())
+    assert graph.visits(edges) == (1.0, 1.0, 0.5, 2.5)
+    assert graph.levels([[1, 2], [3], [3], []]) == (1, 2, 2, 3)
+
+
+def test_equipos_stand_in_their_zones_in_turn_and_grupos_lie_within_one() -> None:
+    one = plan.make(parse(GOOD.replace("count = 6", "count = 40"), Scenario, "s"))
+    mine = [spec for spec in one.equipos if spec.tier == 0]
+    assert Counter(spec.zone for spec in mine) == {"sur-a": 14, "sur-b": 13, "norte-a": 13}
+    assert len({(spec.cell, spec.zone) for spec in mine}) == len({spec.cell for spec in mine}) == 6
+    assert {spec.zone for spec in one.equipos if spec.tier == 3} == {"sur-a", "norte-a"}
+
+
+def test_a_trouble_of_a_zone_is_held_to_it() -> None:
+    one = plan.make(parse(GOOD, Scenario, "s"))
+    lost, failing = (next(step for step in one.steps if step.trouble == at) for at in (0, 1))
+    assert sorted(lost.equipos) == sorted(spec.name for spec in one.equipos if spec.zone == "norte-a")
+    assert sorted(failing.equipos) == ["archivo-0", "archivo-2"]
+
+
+def test_a_way_takes_what_the_network_says() -> None:
+    areas = Areas(parse(GOOD, Scenario, "s"))
+    assert areas.way_ms("sur-a", "sur-a") == HOP_MS
+    assert areas.way_ms("sur-a", "sur-b") == HOP_MS + 1.0
+    assert areas.way_ms("sur-a", "norte-a") == HOP_MS + 8.0
+    areas.cut(0, frozenset(["sur-a", "sur-b"]))
+    assert areas.apart("sur-b", "norte-a")
+    assert not areas.apart("sur-a", "sur-b")
+    areas.mend(0)
+    assert not areas.apart("sur-b", "norte-a")
+
+
+# ----------------------------------------------------------------------- runs
+
+
+def chain(depth: int, **changes: Any) -> Scenario:
+    """Each service calls the next one; three equipos each."""
+    rows: dict[str, Any] = {
+        "name": "chain",
+        "seconds": 6,
+        "class": [{"name": "ver", "share": 1, "work_ms": 3.0 * depth, "effect": "safe"}],
+        "clients": {"rate_per_s": 15},
+        "nodes": {"count": 2, "spread_s": 0.4},
+        "service": [
+            {
+                "name": f"s{at}",
+                "work": 1.0 / depth,
+                "kind": [{"name": "a", "count": 3}],
+                "call": [{"to": f"s{at + 1}"}] if at + 1 < depth else [],
+            }
+            for at in range(depth)
+        ],
+    }
+    return msgspec.convert(rows | changes, Scenario)
+
+
+def jobs(one: plan.Plan, folder: Path) -> list[dict[str, Any]]:
+    assert simulate(one, folder)["ok"]
+    return [row for row in records.read(folder / "equipos.jsonl") if row["e"] == "job"]
+
+
+def test_a_request_twenty_deep_is_answered_once_at_each_level(tmp_path: Path) -> None:
+    one = plan.make(chain(20))
+    by: dict[str, Counter[int]] = {}
+    for row in jobs(one, tmp_path):
+        assert row["verdict"] == "served"
+        by.setdefault(row["op"].split("/")[0], Counter())[row["tier"]] += 1
+    assert set(by) == {item.op for item in one.arrivals}
+    assert all(levels == dict.fromkeys(range(20), 1) for levels in by.values())
+    wishes = [row for row in records.read(tmp_path / "load.jsonl") if row["e"] == "op"]
+    assert all(row["in_time"] and len(row["tries"]) == 1 for row in wishes)
+
+
+def test_a_list_of_tiers_is_the_chain_of_the_same_services() -> None:
+    rows = msgspec.to_builtins(scenario.load("fleet-zone", {"seconds": 8}))
+    tiers = rows["tier"]
+    services = [{key: value for key, value in tier.items() if key != "calls"} for tier in tiers]
+    for service, below in zip(services, tiers[1:], strict=False):
+        service["call"] = [{"to": below["name"], "times": below["calls"]}]
+    as_graph = msgspec.convert(rows | {"tier": [], "service": services}, Scenario)
+    for seed in (1, 5):
+        one, other = (simulate(plan.make(told, seed)) for told in (msgspec.convert(rows, Scenario), as_graph))
+        assert one["digest"] == other["digest"]
+        assert one["events"] == other["events"]
+
+
+def test_a_service_on_several_ways_is_called_on_each(tmp_path: Path) -> None:
+    told = parse(GOOD[: GOOD.index("[[trouble]]")], Scenario, "s")
+    one = plan.make(told)
+    found: Counter[int] = Counter(row["tier"] for row in jobs(one, tmp_path))
+    means = graph.visits(one.edges)
+    asked = len(one.arrivals)
+    assert found[0] == asked
+    # Of each of some 600 requests: far outside chance.
+    assert all(abs(found[at] / asked - mean) < 0.15 for at, mean in enumerate(means))
+    assert means[3] == pytest.approx(means[1] + 0.6)
+    callers = {
+        row["node"].split("-")[1] for row in records.read(tmp_path / "equipos.jsonl") if row.get("tier") == 3
+    }
+    assert callers == {"albumes", "perfiles"}
+
+
+def test_ways_between_regions_are_in_the_time_of_an_answer() -> None:
+    near = chain(2, clients={"rate_per_s": 20})
+    rows = msgspec.to_builtins(near)
+    rows["region"] = [{"name": "sur", "zones": ["sur-a"]}, {"name": "norte", "zones": ["norte-a"]}]
+    rows["service"][0]["zones"], rows["service"][1]["zones"] = ["sur-a"], ["norte-a"]
+    rows["network"] = {"between_regions_ms": 100.0}
+    far = simulate(plan.make(msgspec.convert(rows, Scenario)))["classes"]["ver"]
+    rows["network"] = {}
+    assert (
+        far["p50_ms"]
+        >= simulate(plan.make(msgspec.convert(rows, Scenario)))["classes"]["ver"]["p50_ms"] + 195.0
+    )
+
+
+def regions(troubles: list[dict[str, Any]], rate: float = 30.0) -> Scenario:
+    """A diamond of four services over two regions with three zones, all effects."""
+    common = {"share": 1, "work_ms": 40, "cv": 0.8, "attempt_noise": 0.3, "aim_ms": 700, "give_up_ms": 2000}
+    kind = {"name": "a", "count": 6, "cold_s": 4, "pause_ms": [0, 50], "error_rate": [0, 0.02]}
+    calls = {"top": ["left", "right"], "left": ["bottom"], "right": ["bottom"], "bottom": []}
+    rows = {
+        "name": "regions",
+        "seconds": 9,
+        "class": [
+            {"name": "subir-foto", "effect": "unsafe", "worth": 8, **common},
+            {"name": "comentario", "effect": "keyed", "group": "cell", "worth": 3, **common},
+            {"name": "ver", "effect": "safe", **common},
+        ],
+        "clients": {"rate_per_s": rate},
+        "nodes": {"count": 6, "spread_s": 0.4},
+        "region": [{"name": "sur", "zones": ["sur-a", "sur-b"]}, {"name": "norte", "zones": ["norte-a"]}],
+        "network": {"between_zones_ms": 0.5, "between_regions_ms": 6.0},
+        "service": [
+            {
+                "name": name,
+                "work": 0.25,
+                "cell_size": 2,
+                "kind": [kind],
+                "call": [{"to": to, "times": 0.7} for to in below],
+            }
+            for name, below in calls.items()
+        ],
+        "trouble": troubles,
+    }
+    return msgspec.convert(rows, Scenario)
+
+
+LOSS = {"kind": "loss", "region": "sur", "at_s": 2.0, "for_s": 3.0}
+
+
+def test_the_same_seed_gives_the_same_records_of_a_graph_through_a_loss() -> None:
+    one, again = (simulate(plan.make(regions([LOSS]), 3)) for _ in range(2))
+    assert one["digest"] == again["digest"]
+    assert simulate(plan.make(regions([LOSS]), 4))["digest"] != one["digest"]
+
+
+@pytest.mark.parametrize(("kind", "back_cold"), [("loss", True), ("cut-off", False)])
+def test_a_region_away_and_back_takes_work_again(kind: str, back_cold: bool, tmp_path: Path) -> None:
+    run = Simulation(plan.make(regions([LOSS | {"kind": kind}])), tmp_path)
+    summary = run.run()
+    assert summary["ok"], summary["rules"]
+    rows = [row for row in records.read(tmp_path / "equipos.jsonl") if row["e"] == "job"]
+    zone = {spec.name: spec.zone for spec in run.plan.equipos}
+    inside = [row for row in rows if zone[row["equipo"]] != "norte-a" and row["ran"]]
+    before = [row for row in inside if row["came"] < 2000.0]
+    during = [row for row in inside if 2000.0 <= row["came"] < 5000.0]
+    assert before
+    assert any(row["came"] > 5500.0 for row in inside)  # back
+    if kind == "loss":
+        assert not during
+    else:  # what lies there goes on with its own clients, and hears of nothing outside
+        assert during
+        nodes = {**run.world.nodes, **{node.name: node for node in run.world.companions.values()}}
+        assert all(nodes[row["node"]].zone != "norte-a" for row in during if row["came"] > 2010.0)
+    hosts = [host for host in run.world.hosts.values() if host.spec.zone != "norte-a"]
+    assert all(host.listening and not host.vanished for host in hosts)
+    assert all((host.model.started_ms > 5000.0) is back_cold for host in hosts)
+    truth = {name for registry in run.world.registries for name in registry.truth}
+    assert truth == set(run.world.hosts)
+    for agent in (agent for registry in run.world.registries for agent in registry.agents.values()):
+        assert not agent.cut
+
+
+def test_a_lost_machine_does_not_work_on_and_a_cut_one_does(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Seen without the loss's own way as well: by a cut alone the same equipos go on."""
+    done = []
+    for _ in range(2):
+        run = Simulation(plan.make(regions([LOSS], 60.0)))
+        while not run.clients or run.queue.now < 2000.5:
+            run.queue.run(run.queue.now + 0.5)
+        lost = [host for host in run.world.hosts.values() if host.spec.zone != "norte-a"]
+        work = sum(host.model.done_work for host in lost)
+        run.queue.run(3000.0)
+        done.append(sum(host.model.done_work for host in lost) - work)
+        monkeypatch.setattr(Host, "lose", Host.vanish)
+    assert done[0] == 0.0
+    assert done[1] > 0.0
+
+
+AREAS = st.fixed_dictionaries(
+    {
+        "kind": st.sampled_from(["loss", "cut-off"]),
+        "at_s": st.floats(0.5, 5.0),
+        "for_s": st.floats(0.2, 4.0),
+    }
+)
+PLACES = st.sampled_from([{"region": "sur"}, {"region": "norte"}, {"zone": "sur-a"}, {"zone": "norte-a"}])
+OTHERS = st.fixed_dictionaries(
+    {
+        "kind": st.sampled_from(["slow", "errors", "crash", "vanish", "discovery-stall", "node-loss"]),
+        "at_s": st.floats(0.5, 5.0),
+        "for_s": st.floats(0.2, 4.0),
+        "size": st.sampled_from([0.4, 0.9]),
+        "part": st.sampled_from([0.3, 1.0]),
+        "service": st.sampled_from(["top", "left", "bottom"]),
+    }
+)
+
+
+@SHORT
+@given(
+    st.lists(st.builds(lambda one, place: one | place, AREAS, PLACES) | OTHERS, max_size=4),
+    st.sampled_from([10.0, 80.0]),
+    st.integers(0, 1 << 30),
+)
+def test_the_rules_hold_in_a_graph_under_any_troubles(
+    troubles: list[dict[str, Any]], rate: float, seed: int
+) -> None:
+    run = Simulation(plan.make(regions(troubles, rate), seed))
+    summary = run.run()
+    assert summary["ok"], summary["rules"]
+    assert sum(one["asked"] for one in summary["classes"].values()) == len(run.plan.arrivals)
+    run.queue.run(run.queue.now + 30_000.0)
+    for node in [*run.world.nodes.values(), *run.world.companions.values()]:
+        assert node.node.active == 0
+        assert not node.calls
+        assert not node.out
+    for host in run.world.hosts.values():
+        assert host.model.connected == len(host.links)
+
+
+@pytest.mark.parametrize("name", ["graph-chain", "graph-diamond", "graph-zone", "graph-region"])
+def test_shipped_graphs_keep_the_rules(name: str) -> None:
+    """Short forms: each trouble for two seconds, and what comes right after it."""
+    changes: dict[str, object] = {"seconds": 9, "clients.rate_per_s": 20}
+    for at in range(len(scenario.load(name).troubles)):
+        changes |= {f"trouble.{at}.at_s": 2.0 + 3.0 * at, f"trouble.{at}.for_s": 2.0}
+    summary = simulate(plan.make(scenario.load(name, changes)))
+    assert summary["ok"], summary["rules"]
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -21,8 +21,8 @@
 from rosewheel.decide.policy import Balancer
 from rosewheel.lab import ledger, plan, scenario
 from rosewheel.lab.retry import Verdict
+from rosewheel.lab.scenario import OF_AREAS, Scenario
 from rosewheel.lab.scenario import TROUBLES as TROUBLE_KINDS
-from rosewheel.lab.scenario import Scenario
 from rosewheel.lab.virtual.clients import Op
 from rosewheel.lab.virtual.discovery import Registry
 from rosewheel.lab.virtual.events import Queue
@@ -117,7 +117,9 @@
 
 TROUBLES = st.fixed_dictionaries(
     {
-        "kind": st.sampled_from([kind for kind in get_args(TROUBLE_KINDS) if kind != "faults"]),
+        "kind": st.sampled_from(
+            [kind for kind in get_args(TROUBLE_KINDS) if kind not in ("faults", *OF_AREAS)]
+        ),
         "at_s": st.floats(0.5, 5.0),
         "for_s": st.floats(0.2, 4.0),
         "size": st.sampled_from([0.4, 0.9]),
@@ -125,6 +127,14 @@
         "tier": st.sampled_from(["entrada", "archivo"]),
     }
 )
+AREAS = st.fixed_dictionaries(
+    {
+        "kind": st.sampled_from(OF_AREAS),
+        "at_s": st.floats(0.5, 5.0),
+        "for_s": st.floats(0.2, 4.0),
+        "zone": st.just("sala"),
+    }
+)
 FAULTS = st.fixed_dictionaries(
     {
         "kind": st.just("faults"),
@@ -162,7 +172,9 @@
 
 @SHORT
 @given(
-    st.lists(TROUBLES | FAULTS, max_size=4), st.sampled_from([20.0, 120.0, 400.0]), st.integers(0, 1 << 30)
+    st.lists(TROUBLES | FAULTS | AREAS, max_size=4),
+    st.sampled_from([20.0, 120.0, 400.0]),
+    st.integers(0, 1 << 30),
 )
 def test_the_rules_hold_under_any_troubles(troubles: list[dict[str, Any]], rate: float, seed: int) -> None:
     run = Simulation(plan.make(made(troubles, rate), seed))
