--- a/benchmarks/added_time.py
+++ b/benchmarks/added_time.py
@@ -132,7 +132,9 @@
         runpy.run_module("rosewheel", run_name="__main__")
 
 
-def start_node(folder: Path, name: str, port: int, equipo: int, equipos: int) -> subprocess.Popen[bytes]:
+def start_node(
+    folder: Path, memory: Path, name: str, port: int, equipo: int, equipos: int
+) -> subprocess.Popen[bytes]:
     folder.mkdir()
     listed = [
         {"host": f"e{at}", "dial": f"127.0.0.1:{equipo}", "site": "a", "block": 0, "health": "active"}
@@ -169,8 +171,7 @@
     config = folder / "config.json"
     config.write_text(json.dumps(row))
     environ = {key: value for key, value in os.environ.items() if not key.startswith("LB_")}
-    state = tempfile.mkdtemp(dir="/dev/shm") if name == "memory" else str(folder)
-    environ |= {"LB_CONFIG": str(config), "TMPDIR": state}
+    environ |= {"LB_CONFIG": str(config), "TMPDIR": str(memory if name == "memory" else folder)}
     command = [sys.executable, __file__, "--role", name, "--note", str(folder / "stops")]
     with (folder / "log").open("wb") as log:
         return subprocess.Popen(command, env=environ, stdout=log, stderr=log)
@@ -339,11 +340,13 @@
     ways = [Way("direct", equipo, stand_in.pid)]
     spans: dict[str, tuple[float, float]] = {}
     cores: list[dict[str, Any]] = []
-    with tempfile.TemporaryDirectory() as folder:
+    with tempfile.TemporaryDirectory() as folder, tempfile.TemporaryDirectory(dir="/dev/shm") as memory:
         try:
             for name in given.nodes.split(","):
                 port = await free_port()
-                started.append(start_node(Path(folder) / name, name, port, equipo, given.equipos))
+                started.append(
+                    start_node(Path(folder) / name, Path(memory), name, port, equipo, given.equipos)
+                )
                 await up(port)
                 ways.append(Way(name, port, started[-1].pid))
             await clients.play(ways, 50.0, 2.0, given.new, rng)  # warms all paths
