--- a/rosewheel/config/operator.py
+++ b/rosewheel/config/operator.py
@@ -218,6 +218,7 @@
         ops=_address(given, "ops") if given["ops"] else None,
         inherited=platform.descriptor(environ.get("LB_INHERITED_FD")),
         state=told.node.state_dir or environ.get("TMPDIR") or None,
+        on_disk=bool(told.node.state_dir),
     )
 
 
--- a/rosewheel/config/platform.py
+++ b/rosewheel/config/platform.py
@@ -40,6 +40,7 @@
     ops: Address | None = None  # where operators call; without it there is no such door
     inherited: int | None = None  # the descriptor of a listening socket that the platform holds
     state: str | None = None  # the folder for what outlives a process
+    on_disk: bool = False  # it lies on a disk, which may hold a write up; on the platform it is memory
     # Whether another process of this node may take over, by a Unix socket in that folder. On the platform only where it
     # holds the callers' socket: elsewhere no second process can be there, and nobody comes to such a socket.
     handover: bool = True
--- a/rosewheel/relay/relay.py
+++ b/rosewheel/relay/relay.py
@@ -113,7 +113,7 @@
             from rosewheel.ops.door import Admin
 
             self.admin = Admin(self)
-        self.snapshots = Snapshots(config.state, config.name, self._learned)
+        self.snapshots = Snapshots(config.state, config.name, self._learned, config.on_disk)
         self.random = random.Random(config.seed)
         self.moves = Moves(self)
         self.handover = Handover(config.state if config.handover else None, config.name, self.moves)
--- a/rosewheel/relay/snapshots.py
+++ b/rosewheel/relay/snapshots.py
@@ -86,14 +86,17 @@
 
 
 class Snapshots:
-    """Writes one now and then from `start` on, and once more at `close`. Without a folder it does nothing."""
+    """Writes one now and then from `start` on, until `close`. Without a folder it does nothing. `on_disk`: a write may
+    take tens of milliseconds on a busy disk, so a thread does it; elsewhere the folder is memory and costs no wait."""
 
-    def __init__(self, folder: str | None, node: str, take: Taken) -> None:
+    def __init__(self, folder: str | None, node: str, take: Taken, on_disk: bool = False) -> None:
         self.path = os.path.join(folder, NAME) if folder else None
         self.node, self.take = node, take
         self.cost_s = 0.0  # of the last one
         self.failing = False
+        self.on_disk = on_disk
         self._timer: asyncio.TimerHandle | None = None
+        self._closed = False
 
     def read(self) -> Kept | None:
         """What an earlier process left, if it is of use."""
@@ -125,27 +128,38 @@
 
     def close(self) -> None:
         """No more of them. What is there stays: the process that follows has written its own since."""
+        self._closed = True
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
     def write(self) -> None:
         """One now. A folder that is full or gone costs a line in the log, the first time, and nothing else."""
-        if self.path is None:
-            return
-        began = time.perf_counter()
-        part = os.path.join(os.path.dirname(self.path), f"learned.{os.getpid()}.part")
+        if self.path is not None:
+            began = time.perf_counter()
+            self._written(began, self._put(self.path, encoded(self.node, *self.take(), clocks())))
+
+    def _put(self, path: str, data: bytes) -> OSError | None:
+        """Replace the file, or say why not."""
+        part = os.path.join(os.path.dirname(path), f"learned.{os.getpid()}.part")
         try:
             with open(part, "wb") as file:
-                file.write(encoded(self.node, *self.take(), clocks()))
-            os.replace(part, self.path)
-            self.failing = False
+                file.write(data)
+            # Guards what the process that follows has written; should it do so right here, its next one mends it.
+            if self._closed:
+                os.unlink(part)
+            else:
+                os.replace(part, path)
         except OSError as error:
-            if not self.failing:
-                log.error("what is learned is not kept: %s", error)
-            self.failing = True
             with contextlib.suppress(OSError):
                 os.unlink(part)
+            return error
+        return None
+
+    def _written(self, began: float, error: OSError | None) -> None:
+        if error is not None and not self.failing:
+            log.error("what is learned is not kept: %s", error)
+        self.failing = error is not None
         self.cost_s = time.perf_counter() - began
 
     def _later(self) -> None:
@@ -153,5 +167,18 @@
         self._timer = asyncio.get_running_loop().call_later(wait, self._due)
 
     def _due(self) -> None:
-        self.write()
-        self._later()
+        if not self.on_disk:
+            self.write()
+            self._later()
+            return
+        assert self.path is not None
+        began, loop = time.perf_counter(), asyncio.get_running_loop()
+        data = encoded(self.node, *self.take(), clocks())
+
+        def ended(done: asyncio.Future[OSError | None]) -> None:
+            if not done.cancelled():
+                self._written(began, done.result())
+            if not self._closed:
+                self._later()
+
+        loop.run_in_executor(None, self._put, self.path, data).add_done_callback(ended)
