--- a/rosewheel/discovery/watch.py
+++ b/rosewheel/discovery/watch.py
@@ -36,7 +36,8 @@
 
     `path` gives what is asked for, by the count of the last object that made sense. `read` makes of an object what
     `take` is then given, with whether it is the whole; it raises KeyError, TypeError, ValueError or OverflowError for
-    one that is none. `silence_s` is how long a watch may say nothing, in seconds.
+    one that is none. `silence_s` is how long a watch may say nothing, in seconds, `connect_s` how long a connection may
+    take, `first_s` how long it all may take to the first byte of what is told.
     """
 
     def __init__(
@@ -49,9 +50,13 @@
         failed: Callable[[], None],
         log: logging.Logger,
         silence_s: float = SILENCE_S,
+        connect_s: float | None = None,
+        first_s: float | None = None,
     ) -> None:
         self.address, self.since, self.path, self.log = address, since, path, log
         self.silence_s = silence_s
+        self.connect_s = CONNECT_S if connect_s is None else connect_s
+        self.first_s = FIRST_S if first_s is None else first_s
         self.opened_s = 0.0  # when the last watch was begun
         self._read, self._take, self._failed = read, take, failed
         self._why = ""  # why the last one ended, if nothing was heard since
@@ -87,7 +92,7 @@
     async def _connect(self, watch: _Watch) -> None:
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_S):
+            async with asyncio.timeout(self.connect_s):
                 await loop.create_connection(lambda: watch, *self.address)
         except (OSError, TimeoutError) as error:
             self.failed(watch, f"no connection: {error or 'timed out'}")
@@ -156,7 +161,7 @@
         self.half = b""  # of an object that goes over several lines, those that have come
         self.told = False
         self.loop = asyncio.get_running_loop()
-        self.limit = FIRST_S  # how long it may be silent
+        self.limit = owner.first_s  # how long it may be silent
         self.silence = self.loop.call_later(self.limit, self._silent)
         self.heard_at = self.loop.time()
 
--- /dev/null
+++ b/rosewheel/ops/calls.py
@@ -0,0 +1,214 @@
+"""One side of an HTTP/1.1 connection on which calls come in and answers of JSON go out, or a stream of its lines.
+
+It decides nothing: each whole call goes to the owner, in order, and what that says is written. Callers that say nothing
+must not keep others out, so there are deadlines for a call to arrive and for its answer to be taken.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Awaitable
+from dataclasses import dataclass, field
+from typing import Any, Protocol, cast
+
+import httptools
+import orjson
+
+log = logging.getLogger("rosewheel.calls")
+
+QUEUED = 16  # calls that may wait on one connection
+
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    413: "Content Too Large",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+}
+
+
+@dataclass(slots=True)
+class Reply:
+    status: int
+    body: Any = field(default_factory=dict)
+    allow: str = ""
+
+
+@dataclass(slots=True)
+class Call:
+    method: str
+    target: str
+    body: bytes
+    keep: bool  # the caller wants to use its connection again
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    call_bytes: int  # of one call, its body included
+    call_s: float  # how long a call may take to arrive
+    take_s: float  # and its last answer to be taken
+    idle_s: float = 0.0  # how long a connection may rest between two calls; 0: one call each
+
+
+class Owner(Protocol):
+    """Who answers."""
+
+    def joined(self, caller: Caller) -> None: ...
+
+    def left(self, caller: Caller) -> None: ...
+
+    def answer(self, call: Call, caller: Caller) -> Awaitable[Reply | None]:
+        """What a call is told; None where the connection has become a stream."""
+
+
+class Caller(asyncio.Protocol):
+    def __init__(self, owner: Owner, limits: Limits, loop: asyncio.AbstractEventLoop) -> None:
+        self.owner, self.limits, self.loop = owner, limits, loop
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpRequestParser(self)
+        self.read = 0
+        self.called = False  # a whole call has come, and no more is taken before its answer, or ever
+        self.streams = False
+        self.ended = False  # the last answer is written
+        self.calls: deque[Call] = deque()
+        self.task: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self._fresh()
+
+    def _fresh(self) -> None:
+        self.target, self.body = b"", b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # A cast: the transports of uvloop are none of asyncio's classes.
+        self.transport = cast(asyncio.Transport, transport)
+        self._after(self.limits.call_s)
+        self.owner.joined(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self._after(None)
+        self.owner.left(self)
+        # Guards memory: the parser and this object hold one another, and the collector comes seldom.
+        del self.parser
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _after(self, wait_s: float | None) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = None if wait_s is None else self.loop.call_later(wait_s, self._late)
+
+    def _late(self) -> None:
+        if self.ended or (
+            not self.read and self.limits.idle_s
+        ):  # it does not take its answer, or rests too long
+            self.abort()
+        elif not self.called:
+            self._last(Reply(408, {"error": "the call did not arrive in time"}))
+
+    def data_received(self, data: bytes) -> None:
+        if self.ended or self.streams or self.transport is None or (self.called and not self.limits.idle_s):
+            return
+        if not self.read and not self.called:
+            self._after(self.limits.call_s)
+        self.read += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            pass  # nothing to upgrade to: the call itself is a plain one, and answered as such
+        except httptools.HttpParserError:
+            if not self.called:
+                self._last(Reply(400, {"error": "not HTTP/1.1"}))
+                return
+        if self.read > self.limits.call_bytes and not self.called:
+            self._last(Reply(413, {"error": "a call without end"}))
+
+    def eof_received(self) -> bool:
+        return self.called and not self.streams  # who ends its sending behind the call still reads
+
+    def on_url(self, url: bytes) -> None:
+        self.target += url
+
+    def on_body(self, data: bytes) -> None:
+        if len(self.body) <= self.limits.call_bytes:
+            self.body += data
+
+    def on_message_complete(self) -> None:
+        if (self.called and not self.limits.idle_s) or len(self.calls) >= QUEUED:
+            return
+        method = self.parser.get_method().decode("latin-1")
+        keep = bool(self.limits.idle_s) and self.parser.should_keep_alive()
+        self.calls.append(Call(method, self.target.decode("latin-1"), self.body, keep))
+        self._fresh()
+        self.called, self.read = True, 0
+        self._after(None)
+        if self.task is None:
+            self.task = self.loop.create_task(self._answer())
+
+    async def _answer(self) -> None:
+        while self.calls and not self.ended:
+            call = self.calls.popleft()
+            try:
+                reply = await self.owner.answer(call, self)
+            except Exception:
+                log.exception("%s %.200s", call.method, call.target)
+                reply = Reply(500, {"error": "a fault of the node"})
+            if reply is None:
+                break
+            if call.keep:
+                self._write(reply, "keep-alive")
+            else:
+                self._last(reply)
+        self.task = None
+        if not self.ended and not self.streams:
+            self.called = False
+            self._after(self.limits.idle_s)
+
+    def _last(self, reply: Reply) -> None:
+        """The answer after which the connection ends."""
+        if self.ended:
+            return
+        self.ended = self.called = True
+        self._write(reply, "close")
+        if self.transport is not None:
+            self.transport.close()
+        self._after(self.limits.take_s)
+
+    def _write(self, reply: Reply, connection: str) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        body = orjson.dumps(reply.body, default=tuple) + b"\n"  # named tuples too
+        head = f"HTTP/1.1 {reply.status} {REASONS[reply.status]}\r\nContent-Type: application/json\r\n"
+        if reply.allow:
+            head += f"Allow: {reply.allow}\r\n"
+        head += f"Content-Length: {len(body)}\r\nCache-Control: no-store\r\nConnection: {connection}\r\n\r\n"
+        self.transport.write(head.encode() + body)
+
+    # ------------------------------------------------------------------- a stream
+
+    def stream(self) -> None:
+        """What follows is one answer without end, in chunks."""
+        self.streams = True
+        self._after(None)
+        head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nCache-Control: no-store\r\n"
+        self.write(head + b"Transfer-Encoding: chunked\r\n\r\n")
+
+    def write(self, chunks: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(chunks)
+
+    @property
+    def unsent(self) -> int:
+        return 0 if self.transport is None else self.transport.get_write_buffer_size()
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
--- a/rosewheel/ops/door.py
+++ b/rosewheel/ops/door.py
@@ -11,12 +11,11 @@
 import logging
 import socket
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
-from typing import Any, Protocol, cast
+from dataclasses import dataclass
+from typing import Any, Protocol
 from urllib.parse import parse_qs
 
-import httptools
-import orjson
+from rosewheel.ops.calls import Call, Caller, Limits, Reply
 
 log = logging.getLogger("rosewheel.door")
 
@@ -26,24 +25,7 @@
 ANSWER_S = 0.9  # and to be answered
 TAKE_S = 2.0  # and its answer to be taken
 BACKLOG = 256
-
-REASONS = {
-    200: "OK",
-    400: "Bad Request",
-    404: "Not Found",
-    405: "Method Not Allowed",
-    408: "Request Timeout",
-    413: "Content Too Large",
-    500: "Internal Server Error",
-    503: "Service Unavailable",
-}
-
-
-@dataclass(slots=True)
-class Reply:
-    status: int
-    body: Any = field(default_factory=dict)
-    allow: str = ""
+LIMITS = Limits(CALL_BYTES, CALL_S, TAKE_S)
 
 
 class Desk(Protocol):
@@ -124,11 +106,13 @@
     def __init__(self, desk: Desk) -> None:
         self.desk = desk
         self.loop = asyncio.get_running_loop()
-        self.callers: dict[_Caller, None] = {}  # the longest silent first
+        self.callers: dict[Caller, None] = {}  # the longest silent first
         self._listener: asyncio.Server | None = None
 
     async def start(self, sock: socket.socket) -> None:
-        self._listener = await self.loop.create_server(lambda: _Caller(self), sock=sock, backlog=BACKLOG)
+        self._listener = await self.loop.create_server(
+            lambda: Caller(self, LIMITS, self.loop), sock=sock, backlog=BACKLOG
+        )
 
     @property
     def listening_socket(self) -> socket.socket | None:
@@ -146,98 +130,15 @@
         for caller in list(self.callers):
             caller.abort()
 
-    def joined(self, caller: _Caller) -> None:
+    def joined(self, caller: Caller) -> None:
         self.callers[caller] = None
         if len(self.callers) > MOST:
             silent = next((one for one in self.callers if not one.called), next(iter(self.callers)))
             silent.abort()
             self.callers.pop(silent, None)  # at once: the next one to join must not count on it again
 
+    def left(self, caller: Caller) -> None:
+        self.callers.pop(caller, None)
 
-class _Caller(asyncio.Protocol):
-    def __init__(self, owner: Admin) -> None:
-        self.owner = owner
-        self.transport: asyncio.Transport | None = None
-        self.parser = httptools.HttpRequestParser(self)
-        self.target = b""
-        self.read = 0
-        self.called = self.whole = self.replied = False
-        self.task: asyncio.Task[None] | None = None
-        self.timer: asyncio.TimerHandle | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        # A cast: the transports of uvloop are none of asyncio's classes.
-        self.transport = cast(asyncio.Transport, transport)
-        self.timer = self.owner.loop.call_later(CALL_S, self._late)
-        self.owner.joined(self)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.owner.callers.pop(self, None)
-        self.transport = None
-        if self.timer is not None:
-            self.timer.cancel()
-        # Guards memory: the parser and this object hold one another, and the collector comes seldom.
-        del self.parser
-
-    def abort(self) -> None:
-        if self.transport is not None:
-            self.transport.abort()
-
-    def _late(self) -> None:
-        if self.called:  # it does not take its answer
-            self.abort()
-        else:
-            self._write(Reply(408, {"error": "the call did not arrive in time"}))
-
-    def data_received(self, data: bytes) -> None:
-        if self.called or self.transport is None:
-            return
-        self.read += len(data)
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            pass  # nothing to upgrade to: the call itself is a plain one, and answered as such
-        except httptools.HttpParserError:
-            if not self.whole:
-                self._write(Reply(400, {"error": "not HTTP/1.1"}))
-                return
-        if self.whole:
-            self.called = True
-            method = self.parser.get_method().decode("latin-1")
-            self.task = self.owner.loop.create_task(self._call(method, self.target.decode("latin-1")))
-        elif self.read > CALL_BYTES:
-            self._write(Reply(413, {"error": "a call without end"}))
-
-    def eof_received(self) -> bool:
-        return self.called  # who ends its sending behind the call still reads
-
-    def on_url(self, url: bytes) -> None:
-        if not self.whole:
-            self.target += url
-
-    def on_message_complete(self) -> None:
-        self.whole = True
-
-    async def _call(self, method: str, target: str) -> None:
-        try:
-            reply = await reply_to(self.owner.desk, method, target)
-        except Exception:
-            log.exception("%s %.200s", method, target)
-            reply = Reply(500, {"error": "a fault of the node"})
-        self._write(reply)
-
-    def _write(self, reply: Reply) -> None:
-        self.called = True
-        if self.transport is None or self.transport.is_closing() or self.replied:
-            return
-        self.replied = True
-        body = orjson.dumps(reply.body) + b"\n"
-        head = f"HTTP/1.1 {reply.status} {REASONS[reply.status]}\r\nContent-Type: application/json\r\n"
-        if reply.allow:
-            head += f"Allow: {reply.allow}\r\n"
-        head += f"Content-Length: {len(body)}\r\nCache-Control: no-store\r\nConnection: close\r\n\r\n"
-        self.transport.write(head.encode() + body)
-        self.transport.close()
-        if self.timer is not None:
-            self.timer.cancel()
-        self.timer = self.owner.loop.call_later(TAKE_S, self.abort)
+    async def answer(self, call: Call, caller: Caller) -> Reply:
+        return await reply_to(self.desk, call.method, call.target)
--- /dev/null
+++ b/tests/machines.py
@@ -0,0 +1,158 @@
+"""Control machines and followers on loopback, with ways between them that a test can cut."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+from typing import Any
+
+from rosewheel.config.platform import Address
+from rosewheel.control.client import Client
+from rosewheel.control.follower import Follower
+from rosewheel.control.log import Log
+from rosewheel.control.service import Service, Setup
+from rosewheel.control.versions import Document
+
+
+class Way:
+    """From one place to another. While it is cut, what is written on it goes nowhere and nothing says so."""
+
+    def __init__(self, to: Address) -> None:
+        self.to, self.is_cut = to, False
+        self.pairs: list[tuple[asyncio.StreamWriter, asyncio.StreamWriter]] = []
+        self.opened = 0
+
+    async def start(self) -> Way:
+        self.server = await asyncio.start_server(self._take, "127.0.0.1", 0)
+        self.address: Address = self.server.sockets[0].getsockname()[:2]
+        return self
+
+    async def _take(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.opened += 1
+        if self.is_cut:  # it never came up: what is said here is lost, also after the cut
+            with contextlib.suppress(ConnectionError):
+                while await reader.read(65536):
+                    pass
+            writer.close()
+            return
+        try:
+            inner_reader, inner = await asyncio.open_connection(*self.to)
+        except OSError:
+            writer.close()
+            return
+        self.pairs.append((writer, inner))
+        await asyncio.gather(self._pump(reader, inner), self._pump(inner_reader, writer))
+
+    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(65536):
+                if not self.is_cut:
+                    writer.write(data)
+        if not self.is_cut:
+            writer.close()
+
+    def close(self) -> None:
+        self.server.close()
+        for pair in self.pairs:
+            for writer in pair:
+                writer.close()
+
+
+class Bed:
+    """Machines c1, c2, ... that reach one another and are reached by nodes over ways."""
+
+    def __init__(self, folder: Path, count: int = 4, writer: str = "c1") -> None:
+        self.folder, self.writer = folder, writer
+        self.names = [f"c{at + 1}" for at in range(count)]
+        self.sockets = {name: socket.create_server(("127.0.0.1", 0)) for name in self.names}
+        self.addresses: dict[str, Address] = {
+            name: sock.getsockname()[:2] for name, sock in self.sockets.items()
+        }
+        self.services: dict[str, Service] = {}
+        self.ways: dict[tuple[str, str], Way] = {}
+        self.followers: dict[str, Follower] = {}
+        self.documents: dict[str, Document] = {}
+        self.applied: dict[str, list[Document]] = {}
+
+    async def way(self, one: str, other: str) -> Way:
+        if (one, other) not in self.ways:
+            self.ways[one, other] = await Way(self.addresses[other]).start()
+        return self.ways[one, other]
+
+    async def start(self, name: str) -> Service:
+        peers = {peer: (await self.way(name, peer)).address for peer in self.names if peer != name}
+        setup = Setup(name, self.addresses[name], self.folder / name, peers, self.writer)
+        service = Service(setup, Log(setup.folder))
+        sock = self.sockets.pop(name, None) or socket.create_server(self.addresses[name])
+        await service.start(sock)
+        self.services[name] = service
+        return service
+
+    async def stop(self, name: str) -> None:
+        await self.services.pop(name).close()
+
+    def cut(self, one: set[str], other: set[str], off: bool = True) -> None:
+        """Between two sets of machines and nodes, both ways."""
+        for (start, end), way in self.ways.items():
+            if (start in one and end in other) or (start in other and end in one):
+                way.is_cut = off
+
+    async def node(
+        self,
+        name: str,
+        service: str = "fotos",
+        copy: Path | None = None,
+        refuse: Callable[[Document], str] = lambda document: "",
+    ) -> Follower:
+        machines = {machine: (await self.way(name, machine)).address for machine in self.names}
+
+        def apply(document: Document) -> None:
+            if why := refuse(document):
+                raise ValueError(why)
+            self.documents[name] = document
+            self.applied.setdefault(name, []).append(document)
+
+        follower = Follower(name, service, machines, hash_of(name), copy, apply)
+        self.followers[name] = follower
+        follower.start()
+        return follower
+
+    async def call(self, name: str, method: str, target: str, row: Any = None) -> tuple[int, Any]:
+        client = Client(self.addresses[name])
+        try:
+            return await client.call(method, target, row, timeout_s=20.0)
+        finally:
+            client.close()
+
+    async def put(self, name: str, patch: Any, version: int | None = None, **more: Any) -> tuple[int, Any]:
+        if version is None:
+            version = self.services[name].store.replica.top.version
+        return await self.call(name, "POST", "/control/put", {"patch": patch, "version": version} | more)
+
+    async def status(self, name: str) -> Any:
+        code, row = await self.call(name, "GET", "/control/status?all=1")
+        assert code == 200
+        return row
+
+
+def hash_of(name: str) -> int:
+    return sum(ord(letter) * 31**at for at, letter in enumerate(name)) % 2**32
+
+
+@contextlib.asynccontextmanager
+async def machines(folder: Path, count: int = 4, writer: str = "c1") -> AsyncIterator[Bed]:
+    bed = Bed(folder, count, writer)
+    for name in bed.names:
+        await bed.start(name)
+    try:
+        yield bed
+    finally:
+        for follower in bed.followers.values():
+            follower.close()
+        for service in list(bed.services.values()):
+            await service.close()
+        for way in bed.ways.values():
+            way.close()
