--- a/rosewheel/control/replica.py
+++ b/rosewheel/control/replica.py
@@ -116,7 +116,15 @@
     def writes(self) -> bool:
         """Whether this is its epoch, and its promotion came to an end: the first version of an epoch, which is written
         once enough machines take nothing older, is there."""
-        return self.seen.writer == self.name and (self.top.epoch == self.seen or self.seen.number == FIRST)
+        if self.seen.writer != self.name:
+            return False
+        return self.top.epoch == self.seen or (self.seen.number == FIRST and not self.unheard)
+
+    @property
+    def unheard(self) -> list[str]:
+        """Those that the writer of the first epoch has to hear of before it writes the first version. Otherwise one
+        that has lost its disk would begin anew, beside what others hold of it."""
+        return [peer for peer in self.peers if self.holds.get(peer) != START]
 
     @property
     def shown(self) -> Position:
@@ -146,12 +154,20 @@
     def draft(self, patch: Document, expected: int, **said: Any) -> Change:
         """A change to write; NotWriterError, PendingError, ConflictError."""
         if not self.writes:
+            if self.seen == Epoch(FIRST, self.name) and self.top == START:
+                raise PendingError(self._first())
             writer = self.seen.writer if self.seen.writer != self.name else ""
             raise NotWriterError(f"{writer or 'no machine'} writes, not {self.name}")
         if self.pending and not said.get("alone"):
             raise PendingError(f"version {self.top.version} is held by no other machine yet")
         return self.versions.drafted(self.seen, patch, expected, **said)
 
+    def _first(self) -> str:
+        more = [peer for peer in self.unheard if peer in self.holds]
+        if more:
+            return f"{', '.join(more)} hold versions, and {self.name} none: promote one of those that do"
+        return f"before the first version all have to be heard of, and {', '.join(self.unheard)} is not yet"
+
     def wrote(self, change: Change) -> None:
         """It is on disk here."""
         self.versions.add(change)
@@ -231,9 +247,15 @@
         if more:
             who = ", ".join(f"{peer} holds {named(position)}" for peer, position in sorted(more.items()))
             raise BehindError(f"{self.name} holds {named(self.top)}, but {who}")
-        if len(holds) + 1 < self.needed:
-            silent = ", ".join(sorted(set(self.peers) - set(holds)))
-            raise BehindError(f"what {silent} hold is not known: {len(holds) + 1} of {self.needed} answered")
+        # One that holds nothing may be new in the place of one that was lost: its word is worth nothing.
+        known = [at for at in (self.top, *holds.values()) if at != START]
+        if len(known) < self.needed:
+            silent = (
+                ", ".join(sorted(peer for peer in self.peers if holds.get(peer, START) == START)) or "all"
+            )
+            raise BehindError(
+                f"what {silent} held is not known: {len(known)} of {self.needed} machines could say"
+            )
 
     def learned(self, epoch: Epoch) -> None:
         """This epoch was seen, and that is on disk."""
