--- a/rosewheel/control/peers.py
+++ b/rosewheel/control/peers.py
@@ -121,6 +121,7 @@
         self.loop = asyncio.get_running_loop()
         self.random = random.Random()
         self.peer = ""
+        self._writer = ""  # as of the last turn
         self.since_s = 0.0
         self._queue: deque[Tail] = deque()
         self._worker: asyncio.Task[None] | None = None
@@ -131,12 +132,15 @@
     def turn(self) -> None:
         """Follow whom there is to follow; called after each step, and now and then."""
         writer = self.owner.store.replica.seen.writer
-        if self._stopped or writer == self.owner.name or not writer:
+        if self._stopped or writer == self.owner.name or not writer or not self.links:
             self._end()
-        elif not self.peer or (
-            self.peer != writer and writer in self.links and self._writer_is_back(self.links[writer])
+        elif (
+            not self.peer
+            or writer != self._writer
+            or (self.peer != writer and writer in self.links and self._writer_is_back(self.links[writer]))
         ):
             self._open(writer if writer in self.links else next(iter(self.links)))
+        self._writer = writer
 
     def _writer_is_back(self, link: Link) -> bool:
         return link.alive and self.loop.time() - self.since_s > BACK_S
--- a/rosewheel/control/replica.py
+++ b/rosewheel/control/replica.py
@@ -158,9 +158,10 @@
                 raise PendingError(self._first())
             writer = self.seen.writer if self.seen.writer != self.name else ""
             raise NotWriterError(f"{writer or 'no machine'} writes, not {self.name}")
-        if self.pending and not said.get("alone"):
+        change = self.versions.drafted(self.seen, patch, expected, **said)
+        if self.pending and not change.alone:
             raise PendingError(f"version {self.top.version} is held by no other machine yet")
-        return self.versions.drafted(self.seen, patch, expected, **said)
+        return change
 
     def _first(self) -> str:
         more = [peer for peer in self.unheard if peer in self.holds]
--- a/tests/machines.py
+++ b/tests/machines.py
@@ -18,12 +18,14 @@
 
 
 class Way:
-    """From one place to another. While it is cut, what is written on it goes nowhere and nothing says so."""
+    """From one place to another. While it is cut nothing comes through and nothing says so; what was written
+    meanwhile comes late, as it does where the system sends it again."""
 
     def __init__(self, to: Address) -> None:
-        self.to, self.is_cut = to, False
-        self.pairs: list[tuple[asyncio.StreamWriter, asyncio.StreamWriter]] = []
-        self.opened = 0
+        self.to = to
+        self.whole = asyncio.Event()
+        self.whole.set()
+        self.writers: list[asyncio.StreamWriter] = []
 
     async def start(self) -> Way:
         self.server = await asyncio.start_server(self._take, "127.0.0.1", 0)
@@ -31,34 +33,26 @@
         return self
 
     async def _take(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.opened += 1
-        if self.is_cut:  # it never came up: what is said here is lost, also after the cut
-            with contextlib.suppress(ConnectionError):
-                while await reader.read(65536):
-                    pass
-            writer.close()
-            return
-        try:
+        self.writers.append(writer)
+        with contextlib.suppress(asyncio.CancelledError, OSError):  # the end of the test, of the machine
+            await self.whole.wait()
             inner_reader, inner = await asyncio.open_connection(*self.to)
-        except OSError:
-            writer.close()
-            return
-        self.pairs.append((writer, inner))
-        await asyncio.gather(self._pump(reader, inner), self._pump(inner_reader, writer))
+            self.writers.append(inner)
+            await asyncio.gather(self._pump(reader, inner), self._pump(inner_reader, writer))
+        writer.close()
 
     async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(ConnectionError):
             while data := await reader.read(65536):
-                if not self.is_cut:
-                    writer.write(data)
-        if not self.is_cut:
-            writer.close()
+                await self.whole.wait()
+                writer.write(data)
+        await self.whole.wait()
+        writer.close()
 
     def close(self) -> None:
         self.server.close()
-        for pair in self.pairs:
-            for writer in pair:
-                writer.close()
+        for writer in self.writers:
+            writer.close()
 
 
 class Bed:
@@ -98,7 +92,10 @@
         """Between two sets of machines and nodes, both ways."""
         for (start, end), way in self.ways.items():
             if (start in one and end in other) or (start in other and end in one):
-                way.is_cut = off
+                if off:
+                    way.whole.clear()
+                else:
+                    way.whole.set()
 
     async def node(
         self,
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 from pathlib import Path
+from typing import Any
 
+import pytest
 from machines import Bed, machines
 from sockets import run, until
 
+from rosewheel.control import placement, replica, store
+from rosewheel.control.versions import START, Document, Epoch, Position
+
 LIMITS = {"limits": {"max_open": 500}}
 
 
@@ -42,3 +48,333 @@
             assert all(len(told) == 1 for told in bed.applied.values()), "a change for others costs no apply"
 
     run(main())
+
+
+async def ready(bed: Bed) -> None:
+    """All have heard of one another, and whoever does not write follows."""
+    await until(
+        lambda: all(link.at is not None for one in bed.services.values() for link in one.links.values())
+    )
+
+
+async def four(tmp_path: Path, bed: Bed, nodes: int = 0) -> None:
+    await ready(bed)
+    for at in range(nodes):
+        await bed.node(f"n{at}")
+    await until(lambda: sum(len(one.streams.nodes) for one in bed.services.values()) == nodes)
+
+
+def versions(bed: Bed) -> set[int]:
+    return {node.position.version for node in bed.followers.values()}
+
+
+@pytest.mark.parametrize(
+    ("patch", "says"),
+    [
+        ({"limits": {"max_open": "many"}}, "limits.max_open: Expected `int`, got `str`"),
+        ({"limits": {"memory_mb": 64}}, "limits.memory_mb: is each node's own"),
+        ({"limits": {"max_opne": 1}}, "limits.max_opne: unknown key"),
+        (
+            {"services": {"fotos": {"routing": {"siblings": 0}}}},
+            "services.fotos.routing.siblings: Expected `int` >= 1",
+        ),
+        ({"services": {"fotos": {"node": {"name": "x"}}}}, "services.fotos.node: is each node's own"),
+        ({"services": []}, "services: not a table"),
+        (
+            {"class": [{"name": "a", "aim_ms": 9, "give_up_ms": 5}]},
+            "class[0].aim_ms: an answer is wanted after",
+        ),
+        ({"class": [{"name": "a", "give_up_ms": 5}]}, "class[0].aim_ms: missing"),
+        ({"services": {"fotos": 1}}, "services.fotos: not a table"),
+        ({"cordons": [None]}, "cordons: not a list of equipos' names"),
+        ("no object", "a patch is an object"),
+    ],
+)
+def test_a_bad_change_names_its_key_and_nothing_is_written(tmp_path: Path, patch: Any, says: str):
+    async def main() -> None:
+        async with machines(tmp_path, 2) as bed:
+            await ready(bed)
+            assert (await bed.put("c1", LIMITS))[0] == 200
+            before = bed.services["c1"].store.disk.size
+            code, row = await bed.put("c1", patch)
+            assert code == 400
+            assert row["error"].startswith(says)
+            assert "\n" not in row["error"]
+            assert bed.services["c1"].store.disk.size == before
+            assert (await bed.status("c1"))["written"] == 1
+
+    run(main())
+
+
+def test_of_two_changes_for_one_version_one_is_a_conflict_and_another_machine_names_the_writer(
+    tmp_path: Path,
+):
+    async def main() -> None:
+        async with machines(tmp_path, 2) as bed:
+            await ready(bed)
+            told = await asyncio.gather(*(bed.put("c1", {"limits": {"max_open": at}}, 0) for at in (5, 6)))
+            assert sorted(code for code, _ in told) == [200, 409]
+            assert next(row["error"] for code, row in told if code == 409) == "version is 1, not 0"
+            code, row = await bed.put("c2", LIMITS, 1)
+            assert (code, row["error"], row["writer"]) == (409, "c1 writes, not c2", "c1")
+            assert row["address"] == "{}:{}".format(*bed.ways["c2", "c1"].address)
+
+    run(main())
+
+
+def test_a_rollback_is_a_new_version_of_the_old_content_and_the_history_tells_of_it(tmp_path: Path):
+    async def main() -> None:
+        async with machines(tmp_path, 2) as bed:
+            await ready(bed)
+            await bed.node("n1")
+            for patch in (LIMITS, {"limits": None, "cordons": ["entrada-1"]}):
+                assert (await bed.put("c1", patch, by="ana", note="why"))[0] == 200
+            code, row = await bed.call("c1", "POST", "/control/rollback", {"to": 1, "version": 2})
+            assert (code, row["version"]) == (200, 3)
+            await until(lambda: versions(bed) == {3})
+            assert bed.documents["n1"] == LIMITS
+            _, told = await bed.call("c2", "GET", "/control/history?most=2")
+            rows = [(row["version"], row["note"], row["by"]) for row in told["versions"]]
+            assert rows == [(3, "back to version 1", ""), (2, "why", "ana")]
+            code, row = await bed.call("c1", "POST", "/control/rollback", {"to": 9, "version": 3})
+            assert (code, row["error"]) == (404, "version 9 is not kept; 0 to 3 are")
+
+    run(main())
+
+
+def test_a_node_that_cannot_apply_keeps_the_old_whole_and_status_says_why(tmp_path: Path):
+    def refuse(document: Document) -> str:
+        return "limits.max_open: more than this node has" if document["limits"]["max_open"] > 1000 else ""
+
+    async def main() -> None:
+        async with machines(tmp_path, 2) as bed:
+            await ready(bed)
+            await bed.node("small", refuse=refuse, copy=tmp_path / "copy")
+            await bed.node("large")
+            assert (await bed.put("c1", LIMITS))[0] == 200
+            await until(lambda: versions(bed) == {1})
+            assert (await bed.put("c1", {"limits": {"max_open": 2000}}))[0] == 200
+            await until(lambda: bed.followers["large"].position.version == 2)
+            row = await bed.status("c2")
+            while not row["refused"]:
+                row = await bed.status("c2")
+            assert bed.documents["small"] == LIMITS
+            node = row["refused_nodes"][0]
+            assert (node["node"], node["version"], node["refused"]) == ("small", 1, 2)
+            assert node["why"] == "limits.max_open: more than this node has"
+            # What follows is merged into what was told, not into what is in force.
+            assert (await bed.put("c1", {"limits": {"max_open": 700}, "cordons": ["entrada-1"]}))[0] == 200
+            await until(lambda: versions(bed) == {3})
+            assert bed.documents["small"] == {"limits": {"max_open": 700}, "cordons": ["entrada-1"]}
+            row = await bed.status("c1")
+            while row["refused"] or row["in_force"] != 2:
+                row = await bed.status("c1")
+
+    run(main())
+
+
+def test_a_node_begins_with_its_copy_while_no_machine_can_be_reached_and_ignores_a_torn_one(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+):
+    async def main() -> None:
+        copy = tmp_path / "copy"
+        async with machines(tmp_path, 2) as bed:
+            await ready(bed)
+            node = await bed.node("n1", copy=copy)
+            assert (await bed.put("c1", LIMITS))[0] == 200
+            await until(lambda: copy.exists())
+            node.close()
+            bed.cut({"n1"}, {"c1", "c2"})
+            again = await bed.node("n1", copy=copy)
+            assert again.position.version == 1, "it is in force when start returns"
+            assert bed.documents["n1"] == LIMITS
+            again.close()
+            for torn in (copy.read_bytes()[:-3], b"", b"\0" * 40, copy.read_bytes().replace(b"500", b"501")):
+                copy.write_bytes(torn)
+                caplog.clear()
+                fresh = await bed.node("n1", copy=copy)
+                assert fresh.position == START
+                lines = [record.message for record in caplog.records if "copy" in record.message]
+                assert len(lines) == 1
+                assert lines[0].startswith("the copy of the configuration is not used: ")
+                fresh.close()
+            bed.cut({"n1"}, {"c1", "c2"}, off=False)
+            fresh = await bed.node("n1", copy=copy)
+            await until(lambda: fresh.position.version == 1)
+
+    run(main())
+
+
+def test_what_a_cut_region_missed_is_in_force_after_its_return(tmp_path: Path):
+    async def main() -> None:
+        async with machines(tmp_path) as bed:
+            await four(tmp_path, bed, 8)
+            near, far = {"c1", "c2"}, {"c3", "c4"}
+            here = {name for name, node in bed.followers.items() if node.machine in near}
+            there = set(bed.followers) - here
+            assert here
+            assert there
+            bed.cut(near | here, far | there)
+            assert (await bed.put("c1", LIMITS))[0] == 200, "c2 holds it too"
+            await until(lambda: {bed.followers[name].position.version for name in here} == {1})
+            assert (await bed.put("c1", {"cordons": ["entrada-1"]}))[0] == 200
+            code, row = await bed.call("c3", "POST", "/control/promote", {})
+            assert code == 409, "what the writer has acknowledged meanwhile is not known there"
+            assert "held is not known" in row["error"]
+            assert {bed.followers[name].position.version for name in there} == {0}
+            bed.cut(near | here, far | there, off=False)
+            await until(lambda: versions(bed) == {2} and all_hold(bed, 2))
+            assert all(document == LIMITS | {"cordons": ["entrada-1"]} for document in bed.documents.values())
+            row = await bed.status("c4")
+            while row["in_force"] != 8:
+                row = await bed.status("c4")
+            assert row["machine"] == "c1"
+
+    run(main())
+
+
+def test_nodes_of_a_lost_machine_move_to_the_next_in_their_own_order_and_return(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+):
+    monkeypatch.setattr(placement, "RETURN_S", (0.2, 0.4))
+
+    async def main() -> None:
+        async with machines(tmp_path) as bed:
+            await four(tmp_path, bed, 24)
+            before = {name: node.machine for name, node in bed.followers.items()}
+            assert before == {name: placement.order(name, bed.names)[0] for name in before}
+            await bed.stop("c3")
+            moved = {name for name, machine in before.items() if machine == "c3"}
+            assert moved
+            left = [name for name in bed.names if name != "c3"]
+
+            def spread() -> bool:
+                return all(
+                    name in bed.services[placement.order(name, left)[0]].streams.nodes
+                    for name in bed.followers
+                )
+
+            await until(spread)
+            assert (await bed.put("c1", LIMITS))[0] == 200
+            await until(lambda: versions(bed) == {1})
+            await bed.start("c3")
+            await until(lambda: moved == set(bed.services["c3"].streams.nodes))
+            assert {name: node.machine for name, node in bed.followers.items()} == before
+
+    run(main())
+
+
+def test_another_writer_is_promoted_and_the_old_one_comes_back_as_a_follower(tmp_path: Path):
+    async def main() -> None:
+        async with machines(tmp_path) as bed:
+            await four(tmp_path, bed, 4)
+            assert (await bed.put("c1", LIMITS))[0] == 200
+            await until(lambda: all_hold(bed, 1) and versions(bed) == {1})
+            for name in bed.names[1:]:
+                bed.cut({"c1"}, {name})
+            # Cut off it writes, but nobody else has it: not acknowledged, shown to no node.
+            code, row = await bed.put("c1", {"limits": {"max_open": 1}})
+            assert code == 503
+            assert "no other machine has it yet" in row["error"]
+            code, row = await bed.call("c2", "POST", "/control/promote", {"by": "ana"})
+            assert (code, row["epoch"], row["version"], row["lost"]) == (200, 2, 2, [])
+            assert (await bed.put("c2", {"limits": {"max_open": 600}}))[0] == 200
+            for name in bed.names[1:]:
+                bed.cut({"c1"}, {name}, off=False)
+            await until(lambda: all_hold(bed, 3) and versions(bed) == {3})
+            assert {one.store.replica.seen for one in bed.services.values()} == {Epoch(2, "c2")}
+            assert all(document == {"limits": {"max_open": 600}} for document in bed.documents.values())
+            told = [
+                document["limits"]["max_open"] for applied in bed.applied.values() for document in applied
+            ]
+            assert 1 not in told, "what was not held was in force nowhere"
+            code, row = await bed.put("c1", LIMITS)
+            assert (code, row["error"]) == (409, "c2 writes, not c1")
+            # What it knows is on its disk.
+            await bed.stop("c1")
+            await bed.start("c1")
+            assert bed.services["c1"].store.replica.seen == Epoch(2, "c2")
+            assert bed.services["c1"].store.replica.document == {"limits": {"max_open": 600}}
+
+    run(main())
+
+
+def test_one_that_is_behind_is_promoted_only_by_force_and_says_what_is_lost(tmp_path: Path):
+    async def main() -> None:
+        async with machines(tmp_path, 3) as bed:
+            await four(tmp_path, bed, 2)
+            assert (await bed.put("c1", LIMITS))[0] == 200
+            await until(lambda: all_hold(bed, 1))
+            bed.cut({"c1"}, {"c3"})
+            bed.cut({"c2"}, {"c3"})
+            assert (await bed.put("c1", {"limits": {"max_open": 600}}))[0] == 200
+            await bed.stop("c1")
+            bed.cut({"c2"}, {"c3"}, off=False)
+            bed.services["c3"].following.close()  # it has no time to catch up
+            code, row = await bed.call("c3", "POST", "/control/promote", {})
+            assert code == 409
+            assert (
+                "c3 holds version 1 of epoch 1 (c1), but c2 holds version 2 of epoch 1 (c1)" in row["error"]
+            )
+            code, row = await bed.call("c3", "POST", "/control/promote", {"force": True})
+            assert (code, row["version"], row["epoch"]) == (200, 2, 2)
+            assert row["lost"] == ["c2 held version 2 of epoch 1 (c1)"]
+            await until(lambda: {node.position for node in bed.followers.values()} == {Position(2, "c3", 2)})
+            assert all(document == LIMITS for document in bed.documents.values())
+
+    run(main())
+
+
+def test_a_node_that_has_seen_a_later_epoch_takes_nothing_of_an_earlier_one_and_tells_the_old_writer(
+    tmp_path: Path,
+):
+    async def main() -> None:
+        async with machines(tmp_path / "one", 1) as bed:
+            node = await bed.node("n1")
+            assert (await bed.put("c1", LIMITS))[0] == 200
+            await until(lambda: node.position.version == 1)
+            later = Position(3, "c2", 1)
+            node.position = node._told = later
+            bed.services["c1"].streams.close()
+            service = bed.services["c1"]
+            await until(lambda: service.store.replica.seen == Epoch(3, "c2"))
+            code, row = await bed.put("c1", {"cordons": ["x"]})
+            assert (code, row["error"]) == (409, "c2 writes, not c1")
+            line = {"seq": 9, "epoch": 2, "writer": "c9", "whole": True, "config": {}}
+            with pytest.raises(ValueError, match="is from before version 1 of epoch 3"):
+                node._read(line)
+            assert node.position == later
+
+    run(main())
+
+
+def test_the_log_is_compacted_and_a_machine_that_was_away_for_longer_gets_the_whole(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+):
+    monkeypatch.setattr(store, "KEPT", 5)
+    monkeypatch.setattr(replica.Replica, "trim", lambda self: self.versions.trim(5))
+
+    async def main() -> None:
+        async with machines(tmp_path, 3) as bed:
+            await four(tmp_path, bed, 2)
+            assert (await bed.put("c1", LIMITS))[0] == 200
+            await until(lambda: all_hold(bed, 1) and versions(bed) == {1})
+            await bed.stop("c3")
+            away = bed.followers["n0"]
+            away.close()
+            for at in range(30):
+                assert (await bed.put("c1", {"limits": {"max_open": 100 + at}}))[0] == 200
+            assert bed.services["c1"].store.disk.count <= 12
+            await bed.start("c3")
+            await until(lambda: all_hold(bed, 31))
+            assert bed.services["c3"].store.replica.document == {"limits": {"max_open": 129}}
+            bed.services["c1"].store.replica.trim()
+            away._stopped = False
+            away._open()
+            await until(lambda: versions(bed) == {31})
+            assert bed.documents["n0"] == {"limits": {"max_open": 129}}
+            await bed.stop("c1")
+            await bed.start("c1")
+            assert bed.services["c1"].store.replica.versions.document == {"limits": {"max_open": 129}}
+
+    run(main())
