--- a/rosewheel/config/checked.py
+++ b/rosewheel/config/checked.py
@@ -124,7 +124,7 @@
 
 def _value(hint: Any, given: Any, path: str, problems: list[Problem]) -> Any:
     inner = _struct(hint)
-    if inner is not None:
+    if inner is not None and not (given is None and type(None) in typing.get_args(hint)):
         return _table(inner, given, path, problems)
     origin, parts = typing.get_origin(hint), typing.get_args(hint)
     if origin in (tuple, list) and _struct(parts[0]) is not None:
--- a/rosewheel/config/operator.py
+++ b/rosewheel/config/operator.py
@@ -15,7 +15,7 @@
 
 from rosewheel.config import platform
 from rosewheel.config.checked import KeyedError, ProblemsError, convert, read
-from rosewheel.config.platform import VARIABLES, Address, Config, ConfigError, parse_address
+from rosewheel.config.platform import VARIABLES, Address, Config, ConfigError, Control, parse_address
 from rosewheel.decide.interface import Effect, Scope, ServiceClass, Settings, Tenant
 from rosewheel.node.bounds import Bounds
 
@@ -117,6 +117,26 @@
     quota_per_s: Natural
 
 
+class ControlTable(Table, frozen=True, kw_only=True):
+    machines: Annotated[tuple[Text, ...], Meta(min_length=1)]  # NAME=ADDRESS:PORT each
+    service: Text
+
+    def __post_init__(self) -> None:
+        self.addresses()
+
+    def addresses(self) -> dict[str, Address]:
+        found: dict[str, Address] = {}
+        for row in self.machines:
+            name, equals, address = row.partition("=")
+            if not equals or not name or name in found:
+                raise KeyedError("machines", f"{row!r} is not NAME=ADDRESS:PORT, each name once")
+            try:
+                found[name] = parse_address(address)
+            except ValueError as error:
+                raise KeyedError("machines", str(error)) from error
+        return found
+
+
 class LogTable(Table, frozen=True, kw_only=True):
     form: Literal["plain", "json"] = "plain"
     level: Literal["debug", "info", "warning", "error"] = "info"
@@ -132,6 +152,7 @@
     classes: tuple[ClassTable, ...] = msgspec.field(name="class")
     tenants: tuple[TenantTable, ...] = msgspec.field(name="tenant", default=())
     log: LogTable = LogTable()
+    control: ControlTable | None = None  # where the fleet's configuration comes from; without it from nowhere
 
     def __post_init__(self) -> None:
         if not self.classes:
@@ -216,6 +237,9 @@
         ops=_address(given, "ops") if given["ops"] else None,
         inherited=platform.descriptor(environ.get("LB_INHERITED_FD")),
         state=told.node.state_dir or environ.get("TMPDIR") or None,
+        control=None
+        if told.control is None
+        else Control(told.control.addresses(), told.control.service, told),
     )
 
 
--- a/rosewheel/config/platform.py
+++ b/rosewheel/config/platform.py
@@ -28,6 +28,15 @@
     """The node can't start; the text is one plain line."""
 
 
+@dataclass(slots=True, frozen=True)
+class Control:
+    """Where the fleet's configuration comes from. Only the operator's file has this."""
+
+    machines: dict[str, Address]
+    service: str  # of the node: what concerns it
+    own: Any = None  # the node's own file, over which what is told is laid
+
+
 @dataclass(slots=True, frozen=True)
 class Config:
     name: str
@@ -43,6 +52,7 @@
     # Whether another process of this node may take over, by a Unix socket in that folder. On the platform only where it
     # holds the callers' socket: elsewhere no second process can be there, and nobody comes to such a socket.
     handover: bool = True
+    control: Control | None = None
 
 
 def parse_address(text: object) -> Address:
--- /dev/null
+++ b/rosewheel/relay/configured.py
@@ -0,0 +1,70 @@
+"""Joins a node to the fleet's configuration: what control says is put in force over the node's own file.
+
+Imported only where the operator's file has a table `control`; `run` on the platform never does.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from pathlib import Path
+from typing import Protocol
+
+from rosewheel.config.operator import cordons, tuned
+from rosewheel.config.platform import Config, ConfigError, Control
+from rosewheel.control.follower import Follower
+from rosewheel.control.versions import Document
+from rosewheel.decide.interface import Settings
+from rosewheel.node.bounds import Bounds
+
+COPY = "control.copy"
+
+
+class Node(Protocol):
+    """What is configured."""
+
+    def configure(self, settings: Settings, bounds: Bounds) -> None:
+        """ValueError: all stays as it was."""
+
+    def fleet_cordons(self, members: frozenset[str]) -> None: ...
+
+
+class Configured:
+    def __init__(self, node: Node, config: Config, control: Control) -> None:
+        self.node, self.control = node, control
+        self.document: Document = {}  # in force
+        copy = Path(config.state) / COPY if config.state else None
+        self.follower = Follower(
+            config.name, control.service, control.machines, config.seed, copy, self._apply
+        )
+
+    def start(self) -> None:
+        """With the copy, if there is one; no machine is waited for."""
+        self.follower.start()
+
+    def close(self) -> None:
+        self.follower.close()
+
+    def _apply(self, document: Document) -> None:
+        out = cordons(document)
+        self.node.configure(*tuned(self.control.own, document))
+        self.node.fleet_cordons(out)
+        self.document = document
+
+    def over(self, config: Config) -> Config:
+        """The node's own file, read again, under what control says. ConfigError where the two do not go together."""
+        control = config.control
+        if control is None or (control.machines, control.service) != (
+            self.control.machines,
+            self.control.service,
+        ):
+            raise ConfigError("control: changes only with a restart")
+        try:
+            settings, bounds = tuned(control.own, self.document)
+        except ValueError as error:
+            raise ConfigError(f"with what control says: {error}") from error
+        return dataclasses.replace(config, settings=settings, bounds=bounds)
+
+    def took(self, config: Config) -> None:
+        """The file that was read again is in force."""
+        assert config.control is not None
+        self.control = config.control
--- a/rosewheel/relay/serve.py
+++ b/rosewheel/relay/serve.py
@@ -9,21 +9,38 @@
 import sys
 import time
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import uvloop
 
 from rosewheel.config.platform import Config, ConfigError
 from rosewheel.relay.relay import Relay
 
+if TYPE_CHECKING:
+    from rosewheel.relay.configured import Configured
+
 log = logging.getLogger("rosewheel")
 
 Load = Callable[[bool], Config]  # True: it is read again, while the node runs
 
 
-def _reload(relay: Relay, load: Load) -> None:
+def _joined(relay: Relay, config: Config) -> Configured | None:
+    """What joins the node to the fleet's configuration, where its file says so. Imported only then: it needs more than
+    the platform's `run` has."""
+    if config.control is None:
+        return None
+    from rosewheel.relay.configured import Configured
+
+    return Configured(relay, config, config.control)
+
+
+def _reload(relay: Relay, load: Load, joined: Configured | None) -> None:
     """Read the configuration again; with a bad one the node goes on as it is."""
     try:
-        relay.reload(load(True))
+        config = load(True)
+        relay.reload(config if joined is None else joined.over(config))
+        if joined is not None:
+            joined.took(config)
     except ConfigError as error:
         log.error("the configuration stays as it was: %s", error)
 
@@ -34,7 +51,10 @@
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, stop.set)
     relay = Relay(config)
-    loop.add_signal_handler(signal.SIGHUP, _reload, relay, load)
+    joined = _joined(relay, config)
+    loop.add_signal_handler(signal.SIGHUP, _reload, relay, load, joined)
+    if joined is not None:
+        joined.start()
     await relay.start()
     # Guards the tail of the latencies: what lives as long as the node is not looked through again.
     gc.collect()
@@ -42,6 +62,8 @@
     gc.set_threshold(20000, 20, 50)
     log.info("%s serves, %.0f ms of CPU", config.name, time.process_time() * 1e3)
     await stop.wait()
+    if joined is not None:
+        joined.close()
     await relay.drain()
 
 
