--- a/rosewheel/control/follower.py
+++ b/rosewheel/control/follower.py
@@ -218,6 +218,7 @@
                 status, _ = await client.call("POST", "/control/ack", {"nodes": [row]})
             except CallError:
                 status = 0
+            client.close()  # a descriptor here, and on the machine one for each node, are not worth a connect saved
             if status != 200:
                 self._acked = False
                 self._after("ack", self.route.random.uniform(*ACK_AGAIN_S), self._ack)
--- a/rosewheel/control/streams.py
+++ b/rosewheel/control/streams.py
@@ -18,6 +18,7 @@
 
 EMPTY_S = 2.0  # how often those that follow hear an empty line
 EMPTY = chunk(b"\n")
+GONE_S = 10.0  # without an answer of the system at the other end: its machine is gone, though nothing says so
 UNSENT_BYTES = 4 << 20  # of one that does not take what it is told
 
 
@@ -55,6 +56,7 @@
         if stream.node:
             self.nodes[stream.node] = caller
         caller.stream()
+        caller.unheard_after(GONE_S)
         caller.write(EMPTY)
         wait = 0.0 if stream.peer else self.pace.turn(self.loop.time())
         if wait > 0.0:
--- a/rosewheel/ops/calls.py
+++ b/rosewheel/ops/calls.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import socket
 from collections import deque
 from collections.abc import Awaitable
 from dataclasses import dataclass, field
@@ -205,6 +206,12 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(chunks)
 
+    def unheard_after(self, wait_s: float) -> None:
+        """End where what is written is not taken in by the system at the other end for so long."""
+        sock = None if self.transport is None else self.transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(wait_s * 1000.0))
+
     @property
     def unsent(self) -> int:
         return 0 if self.transport is None else self.transport.get_write_buffer_size()
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from pathlib import Path
 from typing import Any
 
@@ -11,6 +12,8 @@
 from sockets import run, until
 
 from rosewheel.control import placement, replica, store
+from rosewheel.control.follower import encoded
+from rosewheel.control.log import NAME
 from rosewheel.control.versions import START, Document, Epoch, Position
 
 LIMITS = {"limits": {"max_open": 500}}
@@ -32,6 +35,13 @@
             code, row = await bed.put("c1", patch, by="ana")
             assert (code, row["version"]) == (200, 1)
             await until(lambda: all(node.position.version == 1 for node in bed.followers.values()))
+            for caller in (caller for one in bed.services.values() for caller in one.streams.streams):
+                assert caller.transport is not None
+                sock = caller.transport.get_extra_info("socket")
+                wait_ms = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+                assert wait_ms == 10000, (
+                    "a node whose machine is gone does not look connected for a quarter of an hour"
+                )
             assert bed.documents["n0"] == LIMITS
             assert bed.documents["n1"] == LIMITS | {"cordons": ["entrada-3"]}
             for name in bed.names:
@@ -396,3 +406,53 @@
                 assert code == 200, row
 
     run(main())
+
+
+def test_a_new_machine_in_the_place_of_a_lost_one_gets_all_and_a_writer_without_its_disk_writes_nothing(
+    tmp_path: Path,
+):
+    async def main() -> None:
+        async with machines(tmp_path, 3) as bed:
+            await ready(bed)
+            for at in (5, 6):
+                assert (await bed.put("c1", {"limits": {"max_open": at}}))[0] == 200
+            await until(lambda: all_hold(bed, 2))
+            for name in ("c3", "c1"):
+                await bed.stop(name)
+                (tmp_path / name / NAME).unlink()
+                await bed.start(name)
+                if name == "c3":
+                    await until(lambda: all_hold(bed, 2))
+                    await until(lambda: bed.services["c1"].store.replica.holds["c3"].version == 2)
+            await until(lambda: set(bed.services["c1"].store.replica.holds) == {"c2", "c3"})
+            code, row = await bed.put("c1", LIMITS, 0)
+            assert code == 503
+            assert row["error"] == "c2, c3 hold versions, and c1 none: promote one of those that do"
+            assert (await bed.call("c2", "POST", "/control/promote", {}))[0] == 200
+            await until(lambda: all_hold(bed, 3))
+            assert bed.services["c1"].store.replica.document == {"limits": {"max_open": 6}}
+
+    run(main())
+
+
+def test_machines_that_begin_anew_are_told_the_epoch_by_nodes_and_lead_them_on_once_one_is_promoted(
+    tmp_path: Path,
+):
+    async def main() -> None:
+        async with machines(tmp_path, 2) as bed:
+            await ready(bed)
+            copy = tmp_path / "copy"
+            copy.write_bytes(encoded("fotos", Position(3, "c2", 900), LIMITS))
+            node = await bed.node("n1", copy=copy)
+            assert node.position == Position(3, "c2", 900)
+            await until(lambda: all(one.store.replica.seen.number == 3 for one in bed.services.values()))
+            assert (await bed.put("c1", {"cordons": ["x"]}))[0] == 409
+            assert (await bed.put("c2", {"cordons": ["x"]}))[0] == 409
+            assert (await bed.call("c1", "POST", "/control/promote", {}))[0] == 409
+            code, row = await bed.call("c1", "POST", "/control/promote", {"force": True})
+            assert (code, row["epoch"], row["version"]) == (200, 4, 1)
+            assert (await bed.put("c1", {"cordons": ["x"]}))[0] == 200
+            await until(lambda: node.position == Position(4, "c1", 2))
+            assert bed.documents["n1"] == {"cordons": ["x"]}
+
+    run(main())
