--- a/tests/test_configure_relay.py
+++ b/tests/test_configure_relay.py
@@ -22,7 +22,7 @@
 
 from rosewheel.config.platform import ConfigError
 from rosewheel.decide.interface import Settings
-from rosewheel.discovery.catalog import SILENCE_PUSHED_S, SILENCE_S
+from rosewheel.discovery.watch import SILENCE_PUSHED_S, SILENCE_S
 from rosewheel.node.bounds import Bounds
 from rosewheel.ops.door import reply_to
 from rosewheel.relay.cordons import Cordons
