--- a/rosewheel/discovery/watch.py
+++ b/rosewheel/discovery/watch.py
@@ -43,7 +43,8 @@
     `path` gives what is asked for, by the count of the last object that made sense. `read` makes of an object what
     `take` is then given, with whether it is the whole; it raises KeyError, TypeError, ValueError or OverflowError for
     one that is none. `spoke` hears of each watch's first line that makes sense, also of an empty one, which tells
-    no more than that there is someone. `silence_s` is how long a watch may say nothing, in seconds.
+    no more than that there is someone. `silence_s` is how long a watch may say nothing, in seconds, `connect_s` how long a
+    connection may take, `first_s` how long a try may take in all, to the first line.
     """
 
     def __init__(
@@ -56,10 +57,14 @@
         failed: Callable[[], None],
         log: logging.Logger,
         silence_s: float | None = None,
+        connect_s: float | None = None,
+        first_s: float | None = None,
         spoke: Callable[[], None] = lambda: None,
     ) -> None:
         self.address, self.since, self.path, self.log = address, since, path, log
         self.silence_s = SILENCE_S if silence_s is None else silence_s
+        self.connect_s = CONNECT_S if connect_s is None else connect_s
+        self.first_s = FIRST_S if first_s is None else first_s
         self.opened_s = 0.0  # when the last watch was begun
         self._read, self._take, self._failed, self._spoke = read, take, failed, spoke
         self._why = ""  # why the last one ended, if nothing was heard since
@@ -95,7 +100,7 @@
     async def _connect(self, watch: _Watch) -> None:
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_S):
+            async with asyncio.timeout(self.connect_s):
                 await loop.create_connection(lambda: watch, *self.address)
         except (OSError, TimeoutError) as error:
             self.failed(watch, f"no connection: {error or 'timed out'}")
@@ -177,7 +182,7 @@
         self.opens = self.held = 0  # the brackets that are open behind them, and their bytes
         self.told = self.spoke = self.settling = False
         self.loop = asyncio.get_running_loop()
-        self.limit = FIRST_S  # how long it may be silent
+        self.limit = owner.first_s  # how long it may be silent
         self.silence = self.loop.call_later(self.limit, self._silent)
         self.heard_at = self.loop.time()  # the last thing that counts as a sign of life
 
