What a cold server earned and was not sent lapses; the pace that cost service is taken out

Change: the pace as it was, half of the budget, with the settings' overload_factor in place of a fixed 4; what is not sent lapses after half of tip_after_ms.

--- a/rosewheel/decide/policy.py
+++ b/rosewheel/decide/policy.py
@@ -79,18 +79,16 @@
 FRESH_MS = 1500.0  # a reported utilisation counts for this long
 ZONE_WEIGHT = 64.0  # calls in the queue that a crossing of zones counts as, per unit of its price
 WATCH_MS = 250.0  # half the first time from one call of discovery to the next; doubled at each failure
-WATCH_MAX_MS = 4000.0  # the longest such time; what a call took is part of it: discovery/watch.py has the sum
-WATCH_LEAST_MS = 200.0  # the longest wait behind a call that took longer than that, or a watch that was open
-# What a cold server may be sent, as a part of its budget: `overload_factor` times its stated share of what a
-# warm one completes. Slow servers bear less than the mean, work varies, sums of many nodes vary, and two roots
-# are all there is for that. Harm: a pool that is replaced serves less while it warms.
-COLD_PART = 0.375
-COLD_KEEP = 0.5  # what it has earned and is not sent lapses after this part of `tip_after_ms`
-MOSTLY = 0.5  # the part of its strength with which a pool is warm enough to learn what a warm server does
-PEAK_LUCK = 1.5  # deviations by which the peak of a rate by few completions is taken to be luck
-AT_ONCE = 2.0  # balancers that may send a server its first call just as it returns
+WATCH_MAX_MS = 4000.0  # the longest such time, what a call took included: discovery/watch.py has the sum
+WATCH_LEAST_MS = 200.0  # the longest wait behind a call that took longer, or a watch that was open
+COLD_KEEP = 0.5  # what a cold server has earned and is not sent lapses after this part of `tip_after_ms`
+AT_ONCE = 4.0  # balancers that may send a server its first call just as it returns
 # Past this many nodes before the first tier each sees too little by itself, and allowances of all add up.
 FEW = 4
+# What a cold server may be sent, as a part of its budget: `overload_factor` times its stated share of what a
+# warm one completes. That share is the least of any server's and warms slowest: paced by it cold ones idle while
+# the few warm ones choke. The rank finds those that can't do so much.
+COLD_PART = 0.5
 T1_SLACK_MANY = 0.15  # in place of T1_SLACK
 # What ROW_GAP grows to in a pool that does half of what it could. Of few calls in flight at each of many
 # nodes a tenth less is less than one: high worth was refused nearly as often as low.
@@ -201,9 +199,6 @@
         self.rate = self.peak = 0.0  # completed units per ms
         # Of many nodes: rates are per warm server, and the pool counts as so many of those, now and of late.
         self.strength = self.lately = 1.0
-        # In all tiers: units a ms that a warm server completes for this node, and periods that taught it.
-        self.able = self.able_peak = 0.0
-        self.able_periods = 0
         self.counted = 0  # periods since the first in which something was completed
         self.mean_aim = sum(kind.aim_ms for kind in settings.classes) / len(settings.classes)
         self.mean_hint = 0.0
@@ -248,7 +243,6 @@
                 longer = self.period_ms / self.next_period_ms
                 self.periods = math.ceil(min(MOST_PERIODS, self.periods * longer))
                 self.counted = math.ceil(min(MOST_PERIODS, self.counted * longer))
-                self.able_periods = math.ceil(min(MOST_PERIODS, self.able_periods * longer))
                 self.period_ms = self.next_period_ms
             acts.append(api.Wake(self.period_ms, "period"))
         elif isinstance(event, api.Alarm) and event.name == "watch":
@@ -315,7 +309,7 @@
         self.class_ms = {name: ms for name, ms in self.class_ms.items() if name in self.kinds}
         self._rescale(stretch(old_aims, self._aims()))
         if self.many is not many:
-            self.strength = self._strength(now) if self.many else 1.0
+            self.strength = self.lately = self._strength(now) if self.many else 1.0
             self.rate, self.peak = (figure * total / self.strength for figure in (self.rate, self.peak))
             self._count_periods(1.0 if self.rate > 0.0 else 0.0)
         acts: list[api.Action] = []
@@ -349,7 +343,8 @@
 
     def _count_periods(self, share: float) -> None:
         """Behind a rate that is known already are the periods that one is smoothed over, or a share."""
-        self.counted = int(share * LONGER * RATE_MS / self.period_ms)
+        if self.many:
+            self.counted = int(share * LONGER * RATE_MS / self.period_ms)
 
     # --------------------------------------------------------------- company
 
@@ -359,7 +354,7 @@
 
     def _on_company(self, event: api.Company) -> None:
         """Guard: to the servers the processes of one node are one. What a cold server may be sent is shared
-        out: the credit that it has here, and in `_pace` what it earns later."""
+        out: here the credit that it has; what it earns later comes by what is asked of each."""
         if event.processes > self.processes:
             for peer in self.peers.values():
                 peer.credit *= self.processes / event.processes
@@ -429,11 +424,8 @@
         self.cursor = min(len(self.shape) - 1, int(old.cursor * weight(age_ms, CURSOR_MS)))
         self.rate, self.peak = (figure * fleeting / self.strength for figure in (old.rate, old.peak))
         self.asked_rate = old.asked_rate * fleeting
-        strength = self._strength(now)
-        self.able, self.able_peak = (figure * fleeting / strength for figure in (old.rate, old.peak))
         if old.rate > 0.0:
             self._count_periods(fleeting)
-            self.able_periods = self.counted
         self.erring, self.usual = old.erring * fleeting, min(1.0, old.usual) * fleeting
         return known
 
@@ -593,9 +585,8 @@
 
     def _paced(self, now: float, peer: Peer) -> bool:
         """Guard: all balancers together must not push a cold server over. While it may be cold it earns
-        credit at its present share (from `cold_from`, even over `cold_ms`) of what a warm one completes for
-        this node, so that what all nodes allow adds up to what it can do, whatever part of the traffic each
-        has. Its first credit is drawn, so that many quiet balancers do not all send it a call at once."""
+        credit at its present share (from `cold_from`, even over `cold_ms`) of what is asked here for each
+        server; its first credit is drawn, so that many quiet balancers do not all send it a call at once."""
         warmth = self._warmth(now, peer)
         if warmth >= 1.0:
             return True
@@ -611,12 +602,9 @@
 
     def _pace(self) -> float:
         """The credit per ms that a warm server would earn."""
+        asked = self.asked_rate / max(1, len(self.pool.ready))
         # Guard: before anything is completed, as where all are cold, what is asked has to do.
-        able = self.asked_rate / max(1, len(self.pool.ready))
-        if self.able_peak:
-            seen = min(STEADY, max(1.0, self.able * self.lately * RATE_MS * LONGER))
-            able = max(self.able, self.able_peak / (1.0 + PEAK_LUCK / math.sqrt(seen)))
-        return COLD_PART * self.cfg.overload_factor * able / self.processes
+        return max(COLD_PART * self.cfg.overload_factor * self.peak, asked) if self.many else asked
 
     def _warmth(self, now: float, peer: Peer) -> float:
         """The least share of its capacity that a server has by now, as stated: 1 once it is warm."""
@@ -811,19 +799,19 @@
             # Guard: in a quiet node most periods bring no outcome; counted as load 0 they undid every step.
             step = 1 if load > 1.0 else -1
             self.cursor = max(0, min(len(self.shape) - 1, self.cursor + step))
-        longer, strength = 1.0, self._strength(now)
-        fades = min(1.0, self.period_ms / STRENGTH_MS)
-        self.lately = max(strength, self.lately + fades * (strength - self.lately))
-        self._learn_able(strength)
+        longer = 1.0
         if self.many:
-            self.strength = strength
+            self.strength = self._strength(now)
+            fades = min(1.0, self.period_ms / STRENGTH_MS)
+            self.lately = max(self.strength, self.lately + fades * (self.strength - self.lately))
             self.completed /= self.lately
         if self.large or self.many:
             each = self.lately if self.many else 1.0
             longer = min(LONGER, max(1.0, STEADY / (self.rate * each * RATE_MS + 1e-9)))
         gain = min(1.0, self.period_ms / (RATE_MS * longer))
-        if self.many:
-            # Guard: a rate smoothed for so long, from nothing, had a node refuse after its first seconds
+        if (
+            self.many
+        ):  # Guard: a rate smoothed for so long, from nothing, had a node refuse after its first seconds
             self.counted += self.completed > 0.0 or self.counted > 0
             gain = max(gain, 1.0 / max(1, self.counted))
         self.rate += gain * (self.completed / self.period_ms - self.rate)
@@ -833,16 +821,3 @@
         self.periods += 1
         self.ratios, self.completed, self.ended, self.asked = [], 0.0, 0.0, 0.0
         self.full = self.errors = 0.0
-
-    def _learn_able(self, strength: float) -> None:
-        """What a warm server completes for this node, and of late at most."""
-        if strength < MOSTLY * len(self.pool.ready) or not (self.able_periods or self.completed):
-            # Guard: what cold servers complete is what they were sent. Learned from that it stayed as low as
-            # it was, and a pool that is all cold was never taken into use.
-            return
-        self.able_periods += 1
-        steady = min(LONGER, max(1.0, STEADY / (self.able * self.lately * RATE_MS + 1e-9)))
-        gain = max(min(1.0, self.period_ms / (RATE_MS * steady)), 1.0 / self.able_periods)
-        self.able += gain * (self.completed / self.lately / self.period_ms - self.able)
-        forgets = min(1.0, self.period_ms / (PEAK_MS * steady))
-        self.able_peak = max(self.able, self.able_peak * (1.0 - forgets))
