--- a/rosewheel/decide/policy.py
+++ b/rosewheel/decide/policy.py
@@ -86,8 +86,8 @@
 # Past this many nodes before the first tier each sees too little by itself, and allowances of all add up.
 FEW = 4
 # What a cold server may be sent, as a part of its budget: `overload_factor` times its stated share of what a
-# warm one completes. That share is the least of any server's and warms slowest: paced by it cold ones idle while
-# the few warm ones choke. The rank finds those that can't do so much.
+# warm one completes. That share is the least of any server's and warms slowest: paced by it cold ones idle
+# while the few warm ones choke. The rank finds those that can't do so much.
 COLD_PART = 0.5
 T1_SLACK_MANY = 0.15  # in place of T1_SLACK
 # What ROW_GAP grows to in a pool that does half of what it could. Of few calls in flight at each of many
