rosewheel scale: a fleet of hollow nodes beside real ones, on one machine, through troubles

Needed: what 540 nodes cost for control, and how soon all of them have a change, could only be reasoned about.

lab/scale/ plays it: a plan by seed (places, troubles, changes), a network of TCP relays that can go silent, lose machines and regions and give them back, discovery for all services, hollow nodes (the product's own watch and waits, many in a process), real nodes by a TOML file with calls through them and past them, figures by phase and role, verdicts. So far for the lists of equipos; control machines follow.

The waits between watches move from the relay to discovery/waits.py, where hollow nodes use them too; the tests that named them in the relay name them there. The limits they hold are the same.

--- a/rosewheel/cli/main.py
+++ b/rosewheel/cli/main.py
@@ -4,7 +4,7 @@
 
 import click
 
-from rosewheel.cli import lab, node, simulate
+from rosewheel.cli import lab, node, scale, simulate
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110})
@@ -18,5 +18,6 @@
 main.add_command(node.node)
 main.add_command(node.check)
 main.add_command(simulate.command)
+main.add_command(scale.command)
 for command in (lab.demo, lab.emulate, lab.load, lab.experiment, lab.scenarios_command):
     main.add_command(command)
--- /dev/null
+++ b/rosewheel/discovery/waits.py
@@ -0,0 +1,29 @@
+"""How long to wait before the next watch where the last one has ended: where lists are pushed nobody is asked."""
+
+from __future__ import annotations
+
+import random
+
+# Where lists are pushed the module never asks, and asking the agent is free. What discovery has at its return counts
+# as told at once, so a watch has to be open then: one follows the other at no more than these parts of the time that
+# a drain allows, the second part once several have come to nothing. One that lasted longer is followed at once.
+REWATCH_PART, REWATCH_MOST_PART = 8.0, 3.0
+REWATCH_LEAST_S = 0.02  # Guards the processor, whatever a drain allows
+
+
+class Waits:
+    """The waits of one node, drawn by its own generator."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.random = rng
+        self.unheard = 0  # watches that ended since one last had something to tell
+
+    def heard(self) -> None:
+        self.unheard = 0
+
+    def ended(self, lasted_s: float, grace_s: float) -> float:
+        """A watch that lasted so long has ended: seconds until the next one. `grace_s` is what a drain allows."""
+        wait = min(grace_s / REWATCH_MOST_PART, grace_s / REWATCH_PART * 2.0**self.unheard)
+        self.unheard = min(8, self.unheard + 1)
+        # Drawn, so that the nodes of a service do not all come back to it at one moment.
+        return max(0.0, max(wait, REWATCH_LEAST_S) * self.random.uniform(0.6, 1.0) - lasted_s)
--- a/rosewheel/lab/virtual/discovery.py
+++ b/rosewheel/lab/virtual/discovery.py
@@ -8,12 +8,12 @@
 import numpy as np
 
 from rosewheel.decide.interface import ListForm, Server, ServerState
+from rosewheel.discovery.waits import REWATCH_MOST_PART, REWATCH_PART
 from rosewheel.lab.plan import Plan, told_after_ms
 from rosewheel.lab.virtual.events import Queue
 from rosewheel.lab.virtual.network import HOP_MS
 from rosewheel.lab.virtual.node import VirtualNode
 from rosewheel.node.bounds import Bounds
-from rosewheel.relay.relay import REWATCH_MOST_PART, REWATCH_PART
 
 GRACE_MS = Bounds().drain_grace_ms
 
--- a/rosewheel/relay/relay.py
+++ b/rosewheel/relay/relay.py
@@ -20,6 +20,7 @@
 from rosewheel.decide.learned import Learned
 from rosewheel.decide.policy import FEW
 from rosewheel.discovery.catalog import SILENCE_PUSHED_S, SILENCE_S, Discovery, Entry, entries_from
+from rosewheel.discovery.waits import Waits
 from rosewheel.handover.moves import Moves
 from rosewheel.handover.offers import WINDOW
 from rosewheel.handover.service import Handover
@@ -63,11 +64,6 @@
 # What the agent has counts as told to a new process from its first moment, so that it begins with what the agent
 # says, where lists are pushed. A silent one is waited for in vain, and may be so for many seconds.
 FIRST_PUSHED_S = 0.5
-# Where lists are pushed the module never asks, and asking the agent is free. What discovery has at its return counts
-# as told at once, so a watch has to be open then: one follows the other at no more than these parts of the time that
-# a drain allows, the second part once several have come to nothing. One that lasted longer is followed at once.
-REWATCH_PART, REWATCH_MOST_PART = 8.0, 3.0
-REWATCH_LEAST_S = 0.02  # Guards the processor, whatever a drain allows
 METHODS = (b"GET", b"POST")
 WHOLE = re.compile("[0-9]{1,7}")  # in ms: some hours, far past every class's patience
 DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
@@ -108,6 +104,7 @@
         self.admin = Admin(self)
         self.snapshots = Snapshots(config.state, config.name, self._learned)
         self.random = random.Random(config.seed)
+        self.waits = Waits(self.random)
         self.moves = Moves(self)
         self.handover = Handover(config.state if config.handover else None, config.name, self.moves)
         self._told = asyncio.Event()  # discovery has said something
@@ -121,7 +118,6 @@
             SILENCE_S if config.settings.ask_discovery else SILENCE_PUSHED_S,
         )
         self.calls: dict[str, Call] = {}
-        self.unheard = 0  # watches that ended since one last had something to tell
         self.longest_ms = 0.0  # of the requests so far, how long a caller waits at most
         self._share(config.bounds.sockets)
         self.stopped = False
@@ -411,17 +407,13 @@
             if self.config.settings.ask_discovery:
                 self.apply(self.node.members(now_ms(), form))
             else:
-                grace_s = self.config.bounds.drain_grace_ms / 1000.0
-                wait = min(grace_s / REWATCH_MOST_PART, grace_s / REWATCH_PART * 2.0**self.unheard)
-                self.unheard = min(8, self.unheard + 1)
-                # Drawn, so that the nodes of a service do not all come back to it at one moment.
-                wait = max(wait, REWATCH_LEAST_S) * self.random.uniform(0.6, 1.0)
                 lasted = self.loop.time() - self.discovery.opened_s
-                self.loop.call_later(max(0.0, wait - lasted), self._rewatch)
+                wait = self.waits.ended(lasted, self.config.bounds.drain_grace_ms / 1000.0)
+                self.loop.call_later(wait, self._rewatch)
             return
         if form is not ListForm.CACHED:
             self._told.set()
-            self.unheard = 0
+            self.waits.heard()
         self.upstream.update(entries, whole=form is not ListForm.DELTA)
         servers = tuple(server for server, _ in entries)
         self.apply(self.node.members(now_ms(), form, servers))
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -8,8 +8,8 @@
 from sockets import Client, FakeDiscovery, FakeServer, entry, node, run, status, until
 
 from rosewheel.discovery import catalog as discovery_module
+from rosewheel.discovery import waits as rewatch
 from rosewheel.node.bounds import Bounds
-from rosewheel.relay import relay as relay_module
 
 HEAD = b"GET /x HTTP/1.1\r\nRequest-Id: a\r\nRequest-Class: read\r\nRequest-Timeout-Ms: 900\r\n\r\n"
 
@@ -90,13 +90,13 @@
                 await until(lambda: len(discovery.asked) == 7)
                 assert status(await client.ask()) == 200  # by the list as it was held
                 discovery.tell(9, entry("s", server.port), whole=True)
-                await until(lambda: relay.unheard == 0)
+                await until(lambda: relay.waits.unheard == 0)
 
     run(main())
     grace_s = Bounds().drain_grace_ms / 1000.0
-    assert waits[0] <= grace_s / relay_module.REWATCH_PART
-    assert max(waits) > grace_s / relay_module.REWATCH_PART
-    assert max(waits) <= grace_s / relay_module.REWATCH_MOST_PART
+    assert waits[0] <= grace_s / rewatch.REWATCH_PART
+    assert max(waits) > grace_s / rewatch.REWATCH_PART
+    assert max(waits) <= grace_s / rewatch.REWATCH_MOST_PART
 
 
 def test_a_watch_that_is_never_answered_is_given_up_soon(monkeypatch: pytest.MonkeyPatch):
--- a/tests/test_list_crossings.py
+++ b/tests/test_list_crossings.py
@@ -16,6 +16,7 @@
 
 from rosewheel.decide.interface import ListForm
 from rosewheel.discovery import catalog
+from rosewheel.discovery import waits as rewatch
 from rosewheel.discovery.catalog import Discovery, Entry
 from rosewheel.node.bounds import Bounds
 from rosewheel.relay import relay as relay_module
@@ -169,13 +170,13 @@
             relay.loop = _Loop(relay.loop, lambda wait, *_: waits.append(wait))  # type: ignore[assignment]
             for grace_ms in (50.0, 400.0, 3000.0):
                 relay.config = _grace(relay.config, grace_ms)
-                relay.unheard = 0
+                relay.waits.unheard = 0
                 waits.clear()
                 for _ in range(12):
                     relay.discovery.opened_s = relay.loop.time()
                     relay._heard(ListForm.FAILED, [])
-                assert 0.0 < waits[0] <= max(relay_module.REWATCH_LEAST_S, grace_ms / 1000.0 / 8)
-                assert max(waits) <= max(relay_module.REWATCH_LEAST_S, grace_ms / 1000.0 / 3)
+                assert 0.0 < waits[0] <= max(rewatch.REWATCH_LEAST_S, grace_ms / 1000.0 / 8)
+                assert max(waits) <= max(rewatch.REWATCH_LEAST_S, grace_ms / 1000.0 / 3)
                 relay.discovery.opened_s = relay.loop.time() - 3.0
                 relay._heard(ListForm.FAILED, [])
                 assert waits[-1] == 0.0
--- /dev/null
+++ b/tests/test_scale_run.py
@@ -0,0 +1,120 @@
+"""A small scale run from its command: everything in force at the end, and no process left whatever ended it."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+LONG_S = 120.0  # far more than it takes: past it, it hangs
+SMALL = ("--nodes", "30", "--real", "2", "--services", "3", "--calls", "4", "--changes", "40")
+
+
+def command(*arguments: str) -> list[str]:
+    return [sys.executable, "-m", "rosewheel.cli", "scale", *arguments]
+
+
+def family(pid: int) -> set[int]:
+    """This process's children, and theirs."""
+    parents: dict[int, int] = {}
+    for path in Path("/proc").iterdir():
+        if path.name.isdigit():
+            with contextlib.suppress(OSError):
+                parents[int(path.name)] = int((path / "stat").read_text().rpartition(")")[2].split()[1])
+    found = {pid}
+    while more := {one for one, parent in parents.items() if parent in found} - found:
+        found |= more
+    return found - {pid}
+
+
+def there(pids: set[int]) -> set[int]:
+    """Those that still run; what has ended and was not waited for by whoever inherited it does not."""
+    left = set()
+    for pid in pids:
+        with contextlib.suppress(OSError):
+            if Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] != "Z":
+                left.add(pid)
+    return left
+
+
+@pytest.fixture
+def running(tmp_path: Path) -> Iterator[tuple[subprocess.Popen[bytes], set[int]]]:
+    """A run whose processes are all there, and they."""
+    run = subprocess.Popen(
+        command(*SMALL, "--seconds", "300", "--out", str(tmp_path)), stderr=subprocess.PIPE
+    )
+    try:
+        deadline = time.monotonic() + LONG_S
+        # equipos, membership, network, hollow nodes, two real nodes, calls
+        while len(pids := family(run.pid)) < 7:
+            assert run.poll() is None
+            assert time.monotonic() < deadline
+            time.sleep(0.05)
+        yield run, pids
+    finally:
+        if run.poll() is None:
+            run.kill()
+        run.communicate()
+
+
+def gone(pids: set[int]) -> bool:
+    deadline = time.monotonic() + LONG_S
+    while there(pids) and time.monotonic() < deadline:
+        time.sleep(0.05)
+    return not there(pids)
+
+
+@pytest.mark.parametrize("name", [signal.SIGINT, signal.SIGTERM])
+def test_an_interrupted_run_leaves_no_process(
+    running: tuple[subprocess.Popen[bytes], set[int]], name: signal.Signals
+) -> None:
+    run, pids = running
+    os.kill(run.pid, name)
+    _, errors = run.communicate(timeout=LONG_S)
+    assert not there(pids)
+    assert (run.returncode, errors.decode().splitlines()) == (130, ["rosewheel: interrupted"])
+
+
+def test_a_killed_run_leaves_no_process(running: tuple[subprocess.Popen[bytes], set[int]]) -> None:
+    run, pids = running
+    run.kill()
+    assert gone(pids)
+
+
+def test_a_small_run_ends_with_everything_in_force(tmp_path: Path) -> None:
+    arguments = (*SMALL, "--seconds", "8", "--seed", "5", "--troubles", "machine,restarts,region")
+    done = subprocess.run(
+        command(*arguments, "--out", str(tmp_path)), capture_output=True, text=True, timeout=LONG_S
+    )
+    last = json.loads(done.stdout.splitlines()[-1])
+    targets = {one["target"]: one for one in last["targets"]}
+    assert targets["stale nodes at the end"]["measured"] == 0
+    assert last["lists"]["all"]["missing"] == 0
+    assert last["lists"]["all"]["changes"] > 0
+    assert last["calls"]["node"]["calls"] > 0
+    assert last["calls"]["direct"]["calls"] > 0
+    assert last["ok"] is all(one["holds"] is not False for one in last["targets"])
+    assert done.returncode == (0 if last["ok"] else 1)
+    rows = (tmp_path / "rows.csv").read_text().splitlines()
+    phases = {row.split(",")[4] for row in rows[1:]}
+    assert phases == {"rest", "changes", "machine", "restarts", "region"}
+
+
+def test_bad_input_is_one_plain_line() -> None:
+    for arguments, text in (
+        (("--nodes", "0"), "rosewheel: --nodes: 0 is not from 1 to 2000"),
+        (("--troubles", "flood"), "rosewheel: --troubles: 'flood' is none of"),
+    ):
+        done = subprocess.run(command(*arguments), capture_output=True, text=True, timeout=LONG_S)
+        assert done.returncode == 2
+        assert done.stderr.startswith(text)
+        assert len(done.stderr.splitlines()) == 1
+        assert not done.stdout
