--- a/rosewheel/lab/scale/hollow.py
+++ b/rosewheel/lab/scale/hollow.py
@@ -18,8 +18,9 @@
 import uvloop
 
 from rosewheel.decide.interface import ListForm
-from rosewheel.discovery.catalog import SILENCE_PUSHED_S, Discovery
+from rosewheel.discovery.catalog import Discovery
 from rosewheel.discovery.waits import Waits
+from rosewheel.discovery.watch import SILENCE_PUSHED_S
 from rosewheel.lab.scale import children
 from rosewheel.lab.wire import Address, now_ms
 
