scale: four control machines, the product's follower in hollow nodes, changes put at the writer

Needed: the run covered lists only; what it is for is a change of configuration in force everywhere.

control.py starts `control serve` four times and puts changes one after another, as compare-and-set asks; each control machine reaches the others through the network between. Hollow nodes run the follower beside the watch; noted are the moments of a version in force and of its acknowledgement. Figures tell the writer from those that follow it.

--- a/rosewheel/lab/scale/hollow.py
+++ b/rosewheel/lab/scale/hollow.py
@@ -17,6 +17,7 @@
 import numpy as np
 import uvloop
 
+from rosewheel.control.follower import Follower
 from rosewheel.decide.interface import ListForm
 from rosewheel.discovery.catalog import Discovery
 from rosewheel.discovery.waits import Waits
@@ -24,6 +25,7 @@
 from rosewheel.lab.scale import children
 from rosewheel.lab.wire import Address, now_ms
 
+NOTED = ("lists", "config", "acked")  # lists heard, versions in force, versions acknowledged
 GRACE_S = 0.4  # the time that a drain allows, by default, and with it the waits between watches
 ADDRESS: contextvars.ContextVar[str | None] = contextvars.ContextVar("ADDRESS", default=None)
 
@@ -58,15 +60,45 @@
         )
 
 
-class HollowNode:
-    """One node without requests. A process that ends and begins anew knows nothing of before, as on a new machine."""
+class Noted(Follower):
+    """The product's follower, which notes when a version came into force and when that was acknowledged."""
+
+    def __init__(self, number: int, config: Heard, acked: Heard, *arguments: Any) -> None:
+        super().__init__(*arguments)
+        self.number, self.config, self.acked = number, config, acked
+
+    def _take(self, whole: bool, line: Any) -> None:
+        super()._take(whole, line)
+        self.config.add(self.number, self.position.version)
+
+    async def _tell(self) -> None:
+        await super()._tell()
+        if self._acked:  # what was told last is what is in force
+            self.acked.add(self.number, self.position.version)
+
 
-    def __init__(self, number: int, address: str, discovery: Address, seed: int, heard: Heard) -> None:
-        self.number, self.heard = number, heard
+class HollowNode:
+    """One node without requests. A process that ends and begins anew knows nothing of before, as on a new machine.
+    Without `machines` there is no configuration to follow."""
+
+    def __init__(
+        self,
+        number: int,
+        service: str,
+        address: str,
+        discovery: Address,
+        machines: dict[str, Address],
+        seed: int,
+        heard: tuple[Heard, Heard, Heard],
+    ) -> None:
+        self.number, self.service, self.machines = number, service, machines
+        self.heard, self.config, self.acked = heard
         self.loop = asyncio.get_running_loop()
         self.address, self.where, self.seed = address, discovery, seed
         self.starts = 0
         self.watch: Discovery | None = None
+        self.follower: Noted | None = None
+        self.applied = 0
         self._context = contextvars.copy_context()
         self._context.run(ADDRESS.set, address)
 
@@ -74,6 +106,10 @@
     def version(self) -> int:
         return 0 if self.watch is None else self.watch.since
 
+    @property
+    def config_version(self) -> int:
+        return 0 if self.follower is None else self.follower.position.version
+
     @property
     def entries(self) -> int:
         return 0 if self.watch is None else len(self.watch.lists.rows)
@@ -84,13 +120,24 @@
 
     def _start(self) -> None:
         self.starts += 1
-        self.waits = Waits(random.Random(f"{self.seed}/{self.number}/{self.starts}"))
+        rng = random.Random(f"{self.seed}/{self.number}/{self.starts}")
+        self.waits = Waits(rng)
         self.watch = watch = Discovery(
             self.where, 0, lambda form, entries: self._told(watch, form), (), SILENCE_PUSHED_S
         )
         watch.watch()
+        if self.machines:
+            told = (f"n{self.number}", self.service, self.machines, rng.getrandbits(62), None, self._apply)
+            self.follower = Noted(self.number, self.config, self.acked, *told)
+            self.follower.start()
+
+    def _apply(self, document: dict[str, Any]) -> None:
+        self.applied += 1
 
     def stop(self) -> None:
+        follower, self.follower = self.follower, None
+        if follower is not None:
+            follower.close()
         watch, self.watch = self.watch, None
         if watch is not None:
             watch.close()
@@ -115,13 +162,16 @@
 
 
 async def main(given: dict[str, Any]) -> None:
-    """Hollow nodes as a process. `given`: `nodes` (number, address, where discovery is), `seed`, `lists` (a path)."""
+    """Hollow nodes as a process. `given`: `nodes` (number, service, address, where discovery is, and the
+    control machines), `seed`, and `folder` and `name` for what they noted."""
     logging.basicConfig(stream=sys.stderr, level=logging.WARNING)
-    heard = Heard()
-    nodes = {
-        number: HollowNode(number, address, (str(host), int(port)), given["seed"], heard)
-        for number, address, (host, port) in given["nodes"]
-    }
+    heard = (Heard(), Heard(), Heard())
+    nodes: dict[int, HollowNode] = {}
+    for number, service, address, discovery, machines in given["nodes"]:
+        where = {name: (str(host), int(port)) for name, (host, port) in machines.items()}
+        nodes[number] = HollowNode(
+            number, service, address, (str(discovery[0]), int(discovery[1])), where, given["seed"], heard
+        )
 
     async def begin() -> dict[str, Any]:
         for node in nodes.values():
@@ -138,13 +188,18 @@
         match row["do"]:
             case "figures":
                 return {
-                    "versions": [[node.number, node.version] for node in nodes.values() if node.watch],
+                    "versions": [
+                        [node.number, node.version, node.config_version]
+                        for node in nodes.values()
+                        if node.watch
+                    ],
+                    "applied": sum(node.applied for node in nodes.values()),
                     "entries": sum(node.entries for node in nodes.values()),
-                    "heard": len(heard.at),
                 }
             case "save":
-                heard.save(Path(given["lists"]))
-                return {"saved": len(heard.at)}
+                for kind, one in zip(NOTED, heard, strict=True):
+                    one.save(Path(given["folder"]) / f"{given['name']}-{kind}.npz")
+                return {"saved": [len(one.at) for one in heard]}
         return None
 
     await children.serve(handle, begin)
--- a/rosewheel/lab/scale/network.py
+++ b/rosewheel/lab/scale/network.py
@@ -20,6 +20,7 @@
 
 FAR_S = 0.015  # one way between regions
 BACKLOG = 2048
+Tallies = dict[str, dict[str, list[int]]]  # by kind of traffic and who it is from, or to
 FIGURES = ("connections", "up_bytes", "down_bytes", "up_pieces", "down_pieces")
 
 
@@ -132,7 +133,7 @@
             self.target = cuts.choose(self.caller, self.door.targets)
             self.delay_s = self.network.far_s if cuts.far(self.caller, self.target) else 0.0
             self.network.links.add(self)
-            self.tally[0] += 1
+            self._count(0, 1)
             self.review()
             self._connect()
         elif self.ended:
@@ -142,9 +143,9 @@
             self.far.listen()
             self._flush()
 
-    @property
-    def tally(self) -> list[int]:
-        return self.network.tallies.setdefault((self.door.kind, self.caller), [0] * len(FIGURES))
+    def _count(self, figure: int, by: int) -> None:
+        for tallies, name in ((self.network.callers, self.caller), (self.network.targets, self.target)):
+            tallies.setdefault(self.door.kind, {}).setdefault(name, [0] * len(FIGURES))[figure] += by
 
     def _connect(self) -> None:
         if not self.held and self._connecting is None:
@@ -186,9 +187,8 @@
             pass
 
     def came(self, side: _Side, data: bytes) -> None:
-        tally = self.tally
-        tally[1 if side.up else 2] += len(data)
-        tally[3 if side.up else 4] += 1
+        self._count(1 if side.up else 2, len(data))
+        self._count(3 if side.up else 4, 1)
         towards = self.other(side)
         if towards.transport is None:
             self._waiting.append((towards, data))
@@ -248,7 +248,8 @@
         self.addresses = {name: address for address, name in machines.items()}
         self.far_s = far_s
         self.links: set[Link] = set()
-        self.tallies: dict[tuple[str, str], list[int]] = {}  # by kind and caller
+        self.callers: Tallies = {}  # what `FIGURES` names, since the beginning
+        self.targets: Tallies = {}
         self._servers: list[asyncio.Server] = []
 
     async def listen(self, door: Door) -> Address:
@@ -281,13 +282,6 @@
         for link in list(self.links):
             link.reset()
 
-    def figures(self) -> dict[str, dict[str, list[int]]]:
-        """By kind of traffic and caller, what `FIGURES` names, since the beginning."""
-        told: dict[str, dict[str, list[int]]] = {}
-        for (kind, caller), tally in self.tallies.items():
-            told.setdefault(kind, {})[caller] = list(tally)
-        return told
-
 
 # -------------------------------------------------------------------- process
 
@@ -313,7 +307,7 @@
             case "split":
                 network.split(row["on"])
             case "figures":
-                return {"figures": network.figures(), "links": len(network.links)}
+                return {"callers": network.callers, "targets": network.targets}
         return None
 
     with contextlib.suppress(asyncio.CancelledError):
--- a/rosewheel/lab/scale/run.py
+++ b/rosewheel/lab/scale/run.py
@@ -14,6 +14,8 @@
 from rosewheel.lab.catalog import Entry
 from rosewheel.lab.scale import calls
 from rosewheel.lab.scale.children import Child, ChildError, usage
+from rosewheel.lab.scale.control import ControlProcess, Operator, first, service_name
+from rosewheel.lab.scale.control import change as change_patch
 from rosewheel.lab.scale.figures import Figures, Sample
 from rosewheel.lab.scale.network import FAR_S
 from rosewheel.lab.scale.plan import Change, Plan, Step
@@ -38,9 +40,15 @@
         self.children: dict[str, Child] = {}
         self.hollow: list[Child] = []
         self.real: dict[int, RealNode] = {}
+        self.control: dict[str, ControlProcess] = {}
+        self.operator: Operator | None = None
+        self._wanted: asyncio.Queue[Change] = asyncio.Queue()
+        self._made = 0  # changes of configuration
         self.figures = Figures(plan)
         self.t0 = 0.0
+        self._doors: dict[str, dict[str, Address]] = {}  # by whose they are, and where they lead
         self._tasks: set[asyncio.Task[None]] = set()
+        self._changing: asyncio.Task[None] | None = None
 
     async def execute(self) -> dict[str, Any]:
         """The run's summary; ChildError where a process of it did not do its part."""
@@ -63,7 +71,10 @@
     async def _start(self) -> None:
         dials = await self._start_equipos()
         membership = await self._child("membership", "membership", self._membership(dials))
+        for one in self.plan.control:
+            self.control[one.name] = ControlProcess(one, self.folder / "control")
         await self._start_network(membership["address"])
+        await self._start_control()
         await self._start_hollow()
         await self._start_real()
         if self._calls:
@@ -109,28 +120,57 @@
         return {"services": services, "homes": {one.address: one.service for one in self.plan.machines}}
 
     async def _start_network(self, discovery: Address) -> None:
-        """A door of its own for each zone, and for each real node, which has no address of its own to come from."""
-        targets = {one.name: discovery for one in self.plan.control}
-        self._zones = sorted({one.zone for one in self.plan.machines})
-        doors = [{"kind": "discovery", "targets": targets} for _ in self._zones]
-        real = [one for one in self.plan.machines if one.real]
-        doors += [{"kind": "discovery", "targets": targets, "caller": one.name} for one in real]
-        places = {one.name: one.region for one in self.plan.machines}
-        places |= {one.name: one.region for one in self.plan.control}
+        """Doors of its own for each zone, for each real node, which has no address of its own to come from, and from
+        each control machine to each other one."""
+        names = [one.name for one in self.plan.control]
+        doors: list[dict[str, Any]] = []
+        keys: list[tuple[str, str]] = []  # whose door, and where it leads
+
+        def add(whose: str, kind: str, to: dict[str, Address], caller: str = "") -> None:
+            doors.append({"kind": kind, "targets": to, "caller": caller})
+            keys.append((whose, "discovery" if kind == "discovery" else next(iter(to))))
+
+        zones = sorted({one.zone for one in self.plan.machines})
+        places = [(f"z{zone}", "") for zone in zones]
+        places += [(one.name, one.name) for one in self.plan.machines if one.real]
+        for whose, caller in places:
+            add(whose, "discovery", dict.fromkeys(names, discovery), caller)
+            for name in names:
+                add(whose, "control", {name: self.control[name].address}, caller)
+        for caller in names:
+            for name in names:
+                if name != caller:
+                    add(caller, "peer", {name: self.control[name].address}, caller)
+        regions = {one.name: one.region for one in self.plan.machines}
+        regions |= {one.name: one.region for one in self.plan.control}
         machines = {one.address: one.name for one in self.plan.machines}
-        given = {"places": places, "machines": machines, "doors": doors, "far_s": FAR_S}
+        given = {"places": regions, "machines": machines, "doors": doors, "far_s": FAR_S}
         told = (await self._child("network", "network", given))["doors"]
-        self._doors = dict(zip(self._zones, told, strict=False))
-        self._own = {
-            one.number: tuple(door) for one, door in zip(real, told[len(self._zones) :], strict=True)
-        }
+        for (whose, to), (host, port) in zip(keys, told, strict=True):
+            self._doors.setdefault(whose, {})[to] = (host, port)
+
+    def _machines_from(self, whose: str) -> dict[str, Address]:
+        """Where the control machines are, as seen from here."""
+        return {name: address for name, address in self._doors[whose].items() if name != "discovery"}
+
+    async def _start_control(self) -> None:
+        writer = self.plan.control[0].name
+        for name, process in self.control.items():
+            process.start(self._machines_from(name), writer)
+        self.operator = Operator(self.control[writer])
+        await self.operator.up()
+        await self.operator.put(first(self.options.services))
 
     async def _start_hollow(self) -> None:
         mine = [one for one in self.plan.machines if not one.real]
         for at in range(0, len(mine), SHARED):
             name = f"hollow-{at // SHARED}"
-            rows = [(one.number, one.address, self._doors[one.zone]) for one in mine[at : at + SHARED]]
-            given = {"nodes": rows, "seed": self.options.seed, "lists": str(self.folder / f"{name}.npz")}
+            rows = []
+            for one in mine[at : at + SHARED]:
+                here = f"z{one.zone}"
+                service, door = service_name(one.service), self._doors[here]["discovery"]
+                rows.append((one.number, service, one.address, door, self._machines_from(here)))
+            given = {"nodes": rows, "seed": self.options.seed, "folder": str(self.folder), "name": name}
             await self._child(name, "hollow", given)
             self.hollow.append(self.children[name])
 
@@ -141,7 +181,7 @@
             sizes[one.service] += 1
         for one in real:
             self.real[one.number] = RealNode(
-                one, self.folder / "nodes", self._own[one.number], sizes[one.service]
+                one, self.folder / "nodes", self._doors[one.name]["discovery"], sizes[one.service]
             )
         for at in range(0, len(real), STARTS):
             some = [self.real[one.number] for one in real[at : at + STARTS]]
@@ -176,7 +216,8 @@
             if name in self.children:
                 self.children[name].tell({"do": "go", "t0": self.t0})
         await self._until(0.0)
-        self._pace()
+        self.figures.began(self.t0)
+        self._changing = self.loop.create_task(self._make_changes())
         await self._sample("begin")
         moments: list[tuple[float, int, Callable[[], Coroutine[Any, Any, None]]]] = []
         # At one moment: first the figures of the phase that ends, then what the next one begins with.
@@ -190,10 +231,6 @@
             await self._until(at_s)
             await what()
 
-    def _pace(self) -> None:
-        """Discovery tells what it tells from now on in the run's own time."""
-        self.figures.began(self.t0)
-
     async def _until(self, at_s: float) -> None:
         await asyncio.sleep(max(0.0, (self.t0 + at_s * 1000.0 - now_ms()) / 1000.0))
 
@@ -206,11 +243,15 @@
                 self._hollow("stop", step.nodes)
                 for node in self._real(step.nodes):
                     node.kill()
+                for name in step.control:
+                    self.control[name].kill()
                 self.figures.left(step.nodes, now)
                 await self._list([(number, "left") for number in step.nodes])
             case "back":
                 network.tell({"do": "back", "names": names})
                 self._hollow("start", step.nodes)
+                for name in step.control:
+                    self.control[name].again()
                 for node in self._real(step.nodes):
                     node.start()
                 self.figures.back(step.nodes, now_ms())
@@ -223,6 +264,7 @@
                 self.figures.back(step.nodes, now_ms())
             case "split" | "join":
                 network.tell({"do": "split", "on": step.what == "split"})
+                self.figures.split(step.what == "split", now_ms())
 
     def _hollow(self, what: str, numbers: tuple[int, ...]) -> None:
         for child in self.hollow:
@@ -239,6 +281,17 @@
     async def _change(self, change: Change) -> None:
         if change.kind == "list":
             await self._list([(change.node, change.health)])
+        else:
+            self._wanted.put_nowait(change)
+
+    async def _make_changes(self) -> None:
+        """Changes of configuration, one after another, as whoever makes them waits for each to be acknowledged."""
+        assert self.operator is not None
+        while True:
+            change = await self._wanted.get()
+            self._made += 1
+            self.figures.config.append(await self.operator.put(change_patch(self._made, change.service)))
+            self._wanted.task_done()
 
     async def _list(self, changes: list[tuple[int, str]], back: bool = False) -> None:
         if not changes:
@@ -260,13 +313,17 @@
             "discovery": [self.children["membership"].pid],
             "hollow": [child.pid for child in self.hollow],
             "real": [node.pid for node in self.real.values()],
+            "control-writer": [self.control[self.plan.control[0].name].pid],
+            "control-follower": [self.control[one.name].pid for one in self.plan.control[1:]],
         }
         for name in ("equipos", "calls"):
             if name in self.children:
                 pids[name] = [self.children[name].pid]
         used = {role: {pid: usage(pid) for pid in some if pid} for role, some in pids.items()}
         used["run"] = {os.getpid(): usage(os.getpid())}
-        self.figures.add(Sample(phase, now_ms(), used, network, membership, hollow, os.getloadavg()[0]))
+        version = 0 if self.operator is None else self.operator.version
+        load = os.getloadavg()[0]
+        self.figures.add(Sample(phase, now_ms(), used, network, membership, hollow, load, version))
 
     async def _settle(self) -> int:
         """Wait until everything is in force everywhere; how many nodes were stale when the time was up."""
@@ -274,23 +331,40 @@
             await asyncio.wait(self._tasks, timeout=SETTLE_S)
         if "calls" in self.children:
             await self.children["calls"].ask({"do": "stop"})
+        await self._made_all()
         deadline = time.monotonic() + SETTLE_S
         while (stale := await self._stale()) and time.monotonic() < deadline:
             await asyncio.sleep(0.2)
         return stale
 
+    async def _made_all(self) -> None:
+        """Wait until the last change of configuration has been made."""
+        assert self._changing is not None
+        joined = self.loop.create_task(self._wanted.join())
+        try:
+            await asyncio.wait({joined, self._changing}, return_when=asyncio.FIRST_COMPLETED)
+            if self._changing.done():
+                self._changing.result()  # it only ends by an error
+        finally:
+            joined.cancel()
+
     async def _stale(self) -> int:
+        """Nodes that do not have the last list or the last version, or of which the writer does not know it."""
+        assert self.operator is not None
         told = await self.children["membership"].ask({"do": "figures"})
         up = 0
         stale = 0
         for child in self.hollow:
-            for number, version in (await child.ask({"do": "figures"}))["versions"]:
+            for number, version, config in (await child.ask({"do": "figures"}))["versions"]:
                 up += 1
-                stale += version != told["versions"][self.plan.machines[number].service]
+                good = version == told["versions"][self.plan.machines[number].service]
+                stale += not good or config != self.operator.version
         for node in self.real.values():
             stats = await node.stats()
             stale += stats.get("pool_size") != told["active"][node.machine.service]
-        return stale + self.options.nodes - len(self.real) - up
+        hollow = self.options.nodes - len(self.real)
+        known = (await self.operator.status()).get("in_force", 0)
+        return int(max(stale + hollow - up, hollow - known))
 
     async def _finish(self) -> None:
         for child in self.hollow:
@@ -300,7 +374,13 @@
         """End every process that was started; returns when the last one has ended."""
         for task in self._tasks:
             task.cancel()
+        if self._changing is not None:
+            self._changing.cancel()
+        if self.operator is not None:
+            self.operator.close()
         for node in self.real.values():
             node.close()
+        for process in self.control.values():
+            process.close()
         # The equipos write their last records when they end, so all are told before any is waited for.
         await asyncio.gather(*(child.end() for child in self.children.values()))
--- a/rosewheel/lab/scale/verdicts.py
+++ b/rosewheel/lab/scale/verdicts.py
@@ -59,25 +59,29 @@
 ) -> InForce:
     """`heard`: by node the versions it had, each with its moment, in order. `away`: when a node could not be
     reached, from and to; one whose process began anew could not at that moment."""
-    told = InForce()
-    nothing = (np.zeros(0, dtype=np.int64), np.zeros(0))
-    for change in made:
-        most = 0.0
+    changes = list(made)
+    at, versions = np.array([one.at for one in changes]), np.array([one.version for one in changes])
+    concerned: dict[int, list[int]] = {}
+    for index, change in enumerate(changes):
         for node in change.nodes:
-            versions, at = heard.get(node, nothing)
-            place = int(np.searchsorted(versions, change.version))
-            if place == len(versions):
-                told.missing += 1
-                continue
-            came = float(at[place])
-            back = max(
-                (to for begin, to in away.get(node, ()) if begin <= came and to >= change.at), default=0.0
-            )
-            if back:
-                told.returned.append(max(0.0, came - back))
-            else:
-                most = max(most, came - change.at)
-        told.everywhere.append(most)
+            concerned.setdefault(node, []).append(index)
+    told, most = InForce(), np.zeros(len(changes))
+    nothing = (np.zeros(0, dtype=np.int64), np.zeros(0))
+    for node, indexes in concerned.items():
+        had, when = heard.get(node, nothing)
+        mine = np.array(indexes)
+        place = np.searchsorted(had, versions[mine])
+        there = place < len(had)
+        told.missing += int((~there).sum())
+        mine, came = mine[there], when[place[there]]
+        back = np.zeros(len(mine))
+        for begin, to in away.get(node, ()):
+            hit = (begin <= came) & (to >= at[mine])
+            back[hit] = np.maximum(back[hit], to)
+        was = back > 0.0
+        told.returned += np.maximum(0.0, came - back)[was].tolist()
+        np.maximum.at(most, mine[~was], (came - at[mine])[~was])
+    told.everywhere = most.tolist()
     return told
 
 
--- a/tests/test_scale_network.py
+++ b/tests/test_scale_network.py
@@ -80,7 +80,8 @@
         caller = await Caller.open(door, "n1")
         assert await caller.echoed(b"hello") == b"hello"
         assert near.callers + far.callers == ["127.14.1.1"]
-        assert network.figures()["control"]["n1"] == [1, 5, 5, 1, 1]
+        assert network.callers["control"]["n1"] == [1, 5, 5, 1, 1]
+        assert sum(one[1] for one in network.targets["control"].values()) == 5
         network.close()
 
     played(main)
@@ -191,9 +192,9 @@
         network = Network(PLACES, MACHINES, far_s=0.001)
         address = await membership.start()
         door = await network.listen(Door("discovery", {"c1": address, "c2": address}))
-        heard = Heard()
+        heard = (Heard(), Heard(), Heard())
         nodes = [
-            HollowNode(number, address, door, 1, heard)
+            HollowNode(number, "s", address, door, {}, 1, heard)
             for number, address in enumerate(("127.10.1.1", "127.14.1.1"))
         ]
         for node in nodes:
@@ -212,7 +213,7 @@
         await until(lambda: nodes[0].version == 3)
         assert nodes[0].watch is not None
         assert list(nodes[0].watch.lists.rows) == ["more"]
-        assert list(heard.versions) == sorted(heard.versions)
+        assert list(heard[0].versions) == [1, 1, 2, 3]
         # A watch that ended is followed by another, from where it was.
         for one in list(membership.open):
             one.reset()
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -53,8 +53,8 @@
     )
     try:
         deadline = time.monotonic() + LONG_S
-        # equipos, membership, network, hollow nodes, two real nodes, calls
-        while len(pids := family(run.pid)) < 7:
+        # equipos, membership, network, four control machines, hollow nodes, two real nodes, calls
+        while len(pids := family(run.pid)) < 11:
             assert run.poll() is None
             assert time.monotonic() < deadline
             time.sleep(0.05)
@@ -97,8 +97,10 @@
     last = json.loads(done.stdout.splitlines()[-1])
     targets = {one["target"]: one for one in last["targets"]}
     assert targets["stale nodes at the end"]["measured"] == 0
-    assert last["lists"]["all"]["missing"] == 0
+    for kind in ("lists", "config", "acked"):
+        assert last[kind]["all"]["missing"] == 0
     assert last["lists"]["all"]["changes"] > 0
+    assert last["acked"]["all"]["changes"] == 40
     assert last["calls"]["node"]["calls"] > 0
     assert last["calls"]["direct"]["calls"] > 0
     assert last["ok"] is all(one["holds"] is not False for one in last["targets"])
