--- a/rosewheel/lab/scale/plan.py
+++ b/rosewheel/lab/scale/plan.py
@@ -32,6 +32,7 @@
     "zone": (7.0, 0.6),
     "region": (9.0, 0.6),
     "control-machine": (9.0, 0.6),
+    "writer": (7.0, 0.6),
 }
 REST, CHANGES = "rest", "changes"
 REST_PART, CHANGES_PART = 0.15, 0.15  # of the run's time
@@ -233,6 +234,8 @@
                 zone = int(rng.choice([at for at in range(len(REGION_OF_ZONE)) if at != control[0].zone]))
                 lost = tuple(one.number for one in machines if one.zone == zone)
                 away = tuple(one.name for one in control if one.zone == zone)
+            case "writer":
+                away = (control[0].name,)
             case "control-machine":
                 away = (control[1 + int(rng.integers(len(control) - 1))].name,)
         if phase.name == "region":
