--- a/rosewheel/config/operator.py
+++ b/rosewheel/config/operator.py
@@ -15,7 +15,7 @@
 
 from rosewheel.config import platform
 from rosewheel.config.checked import KeyedError, ProblemsError, convert, read
-from rosewheel.config.platform import VARIABLES, Address, Config, ConfigError, parse_address
+from rosewheel.config.platform import VARIABLES, Address, Config, ConfigError, Control, parse_address
 from rosewheel.decide.interface import Effect, Scope, ServiceClass, Settings, Tenant
 from rosewheel.node.bounds import Bounds
 
@@ -117,6 +117,26 @@
     quota_per_s: Natural
 
 
+class ControlTable(Table, frozen=True, kw_only=True):
+    machines: Annotated[tuple[Text, ...], Meta(min_length=1)]  # NAME=ADDRESS:PORT each
+    service: Text
+
+    def __post_init__(self) -> None:
+        self.addresses()
+
+    def addresses(self) -> dict[str, Address]:
+        found: dict[str, Address] = {}
+        for row in self.machines:
+            name, equals, address = row.partition("=")
+            if not equals or not name or name in found:
+                raise KeyedError("machines", f"{row!r} is not NAME=ADDRESS:PORT, each name once")
+            try:
+                found[name] = parse_address(address)
+            except ValueError as error:
+                raise KeyedError("machines", str(error)) from error
+        return found
+
+
 class LogTable(Table, frozen=True, kw_only=True):
     form: Literal["plain", "json"] = "plain"
     level: Literal["debug", "info", "warning", "error"] = "info"
@@ -132,6 +152,7 @@
     classes: tuple[ClassTable, ...] = msgspec.field(name="class")
     tenants: tuple[TenantTable, ...] = msgspec.field(name="tenant", default=())
     log: LogTable = LogTable()
+    control: ControlTable | None = None  # where the fleet's configuration comes from; without it from nowhere
 
     def __post_init__(self) -> None:
         if not self.classes:
@@ -216,6 +237,9 @@
         ops=_address(given, "ops") if given["ops"] else None,
         inherited=platform.descriptor(environ.get("LB_INHERITED_FD")),
         state=told.node.state_dir or environ.get("TMPDIR") or None,
+        control=None
+        if told.control is None
+        else Control(told.control.addresses(), told.control.service, told),
     )
 
 
@@ -233,7 +257,7 @@
     file may be given as plain tables, also without those that every file needs. Raises ValueError: one plain line
     that begins with the key."""
     cordons(document)
-    rows: dict[str, Any] = msgspec.to_builtins(base) if isinstance(base, Operator) else {**ANY_NODE, **base}
+    rows: dict[str, Any] = {**ANY_NODE, **(_plain(base) if isinstance(base, Operator) else base)}
     for key, value in document.items():
         if key in TUNED_TABLES:
             if not isinstance(value, dict):
@@ -247,7 +271,7 @@
         elif key in Operator.__struct_encode_fields__:
             raise ValueError(f"{key}: is each node's own, and not the document's to set")
         elif key != "cordons":
-            raise ValueError(" ".join(f"{key}: unknown key".split()))
+            raise ValueError(" ".join(str(key).split()) + ": unknown key")
     try:
         told = convert(rows, Operator, "")
     except ProblemsError as error:
@@ -265,6 +289,11 @@
     return frozenset(names)
 
 
+def _plain(told: Operator) -> dict[str, Any]:
+    rows: dict[str, Any] = msgspec.json.decode(msgspec.json.encode(told))
+    return rows
+
+
 def _table(value: Any) -> dict[str, Any]:
     return value if isinstance(value, dict) else {}
 
--- a/rosewheel/relay/relay.py
+++ b/rosewheel/relay/relay.py
@@ -68,6 +68,7 @@
 # says, where lists are pushed. A silent one is waited for in vain, and may be so for many seconds.
 FIRST_PUSHED_S = 0.5
 METHODS = (b"GET", b"POST")
+FIXED = ("name", "listen", "ops", "state")  # what was bound and named at the start
 
 
 def now_ms() -> float:
@@ -189,6 +190,9 @@
             self.configure(config.settings, config.bounds)
         except ValueError as error:
             raise ConfigError(str(error)) from error
+        fixed = [key for key in FIXED if getattr(config, key) != getattr(self.config, key)]
+        if fixed:
+            log.warning("%s: only a new start of this node takes that over", ", ".join(fixed))
         moved = config.discovery != self.config.discovery
         self.config = dataclasses.replace(self.config, discovery=config.discovery)
         log.info("the configuration was read again, discovery at %s:%d", *config.discovery)
