scale: real nodes follow control by their file's table; no deadline on a property

Needed: the real nodes of a run had lists only. They now have a table [control], with their own ways to the machines, and count among those of which the writer must know the last version at the end. A property test of the plan failed once by hypothesis' own deadline of 200 ms on the busy machine (372 ms); what it holds has nothing to do with time.

--- a/rosewheel/lab/scale/run.py
+++ b/rosewheel/lab/scale/run.py
@@ -181,7 +181,12 @@
             sizes[one.service] += 1
         for one in real:
             self.real[one.number] = RealNode(
-                one, self.folder / "nodes", self._doors[one.name]["discovery"], sizes[one.service]
+                one,
+                self.folder / "nodes",
+                self._doors[one.name]["discovery"],
+                self._machines_from(one.name),
+                service_name(one.service),
+                sizes[one.service],
             )
         for at in range(0, len(real), STARTS):
             some = [self.real[one.number] for one in real[at : at + STARTS]]
@@ -364,7 +369,7 @@
             stale += stats.get("pool_size") != told["active"][node.machine.service]
         hollow = self.options.nodes - len(self.real)
         known = (await self.operator.status()).get("in_force", 0)
-        return int(max(stale + hollow - up, hollow - known))
+        return int(max(stale + hollow - up, self.options.nodes - known))
 
     async def _finish(self) -> None:
         for child in self.hollow:
--- a/tests/test_scale_plan.py
+++ b/tests/test_scale_plan.py
@@ -8,7 +8,7 @@
 
 import numpy as np
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from rosewheel.discovery.waits import REWATCH_LEAST_S, Waits
@@ -55,6 +55,7 @@
     assert lost["rack"] < lost["zone"] < 540 / 6
 
 
+@settings(deadline=None)
 @given(
     nodes=st.integers(1, 300),
     services=st.integers(1, 30),
@@ -141,6 +142,7 @@
     assert (told.everywhere, told.missing) == ([1.0], 1)
 
 
+@settings(deadline=None)
 @given(st.lists(st.tuples(st.integers(0, 3), st.integers(1, 9), st.integers(0, 50)), min_size=1, max_size=40))
 def test_in_force_agrees_with_a_plain_reading(rows: list[tuple[int, int, int]]) -> None:
     events = [(node, version, float(at) + index / 1000.0) for index, (node, version, at) in enumerate(rows)]
