--- a/rosewheel/lab/scale/run.py
+++ b/rosewheel/lab/scale/run.py
@@ -59,7 +59,7 @@
             await self._finish()
         finally:
             await self._close()
-        added = calls.added(self.folder) if self._calls else {}
+        added = calls.added(self.folder, self.plan.phases[1].end_s) if self._calls else {}
         return self.figures.summary(self.folder, stale, added)
 
     # ---------------------------------------------------------------- start
