--- a/rosewheel/relay/relay.py
+++ b/rosewheel/relay/relay.py
@@ -18,6 +18,7 @@
 from rosewheel.decide.learned import Learned
 from rosewheel.decide.policy import FEW
 from rosewheel.discovery.catalog import Discovery, Entry, entries_from
+from rosewheel.discovery.waits import Waits
 from rosewheel.handover.moves import Moves
 from rosewheel.handover.offers import WINDOW
 from rosewheel.handover.service import Handover
@@ -65,12 +66,6 @@
 # What the agent has counts as told to a new process from its first moment, so that it begins with what the agent
 # says, where lists are pushed. A silent one is waited for in vain, and may be so for many seconds.
 FIRST_PUSHED_S = 0.5
-# Where lists are pushed the module never asks, and asking the agent is free. What discovery has at its return counts
-# as told at once, so a watch has to be open then: one follows the other at no more than these parts of the time that
-# a drain allows, the second part once several have come to nothing. One that lasted longer is followed at once.
-REWATCH_PART, REWATCH_MOST_PART = 8.0, 3.0
-REWATCH_MOST_S = 2.0  # and no more than this from one's beginning to the next one's (see discovery/watch.py)
-REWATCH_LEAST_S = 0.02  # Guards the processor, whatever a drain allows
 METHODS = (b"GET", b"POST")
 FIXED = ("name", "listen", "ops", "state")  # what was bound and named at the start
 
@@ -115,6 +110,7 @@
             self.admin = Admin(self)
         self.snapshots = Snapshots(config.state, config.name, self._learned, config.on_disk)
         self.random = random.Random(config.seed)
+        self.waits = Waits(self.random)
         self.moves = Moves(self)
         self.handover = Handover(config.state if config.handover else None, config.name, self.moves)
         self._told = asyncio.Event()  # discovery has said something
@@ -128,7 +124,6 @@
             spoke=self._spoke,
         )
         self.calls: dict[str, Call] = {}
-        self.unheard = 0  # watches that ended since one last had something to tell
         self.longest_ms = 0.0  # of the requests so far, how long a caller waits at most
         self._share(config.bounds.sockets)
         self.stopped = False
@@ -425,24 +420,20 @@
             if self.config.settings.ask_discovery:
                 self.apply(self.node.members(now_ms(), form))
             else:
-                grace_s = self.config.bounds.drain_grace_ms / 1000.0
-                wait = min(grace_s / REWATCH_MOST_PART, grace_s / REWATCH_PART * 2.0**self.unheard)
-                self.unheard = min(8, self.unheard + 1)
-                # Drawn, so that the nodes of a service do not all come back to it at one moment.
-                wait = max(min(wait, REWATCH_MOST_S), REWATCH_LEAST_S) * self.random.uniform(0.6, 1.0)
                 lasted = self.loop.time() - self.discovery.opened_s
-                self.loop.call_later(max(0.0, wait - lasted), self._rewatch)
+                wait = self.waits.ended(lasted, self.config.bounds.drain_grace_ms / 1000.0)
+                self.loop.call_later(wait, self._rewatch)
             return
         if form is not ListForm.CACHED:
             self._told.set()
-            self.unheard = 0
+            self.waits.heard()
         self.upstream.update(entries, whole=form is not ListForm.DELTA)
         servers = tuple(server for server, _ in entries)
         self.apply(self.node.members(now_ms(), form, servers))
 
     def _spoke(self) -> None:
         """A watch is open on a discovery that works, though it may have no change to tell."""
-        self.unheard = 0
+        self.waits.heard()
         if self.config.settings.ask_discovery:
             self.apply(self.node.members(now_ms(), ListForm.DELTA))
 
--- a/tests/test_rewatch.py
+++ b/tests/test_rewatch.py
@@ -20,7 +20,7 @@
 from rosewheel.decide import interface as api
 from rosewheel.decide import policy
 from rosewheel.decide.interface import ListForm
-from rosewheel.discovery import watch
+from rosewheel.discovery import waits, watch
 from rosewheel.node.bounds import Bounds
 from rosewheel.relay import relay as relay_module
 from rosewheel.relay.relay import Relay
@@ -170,8 +170,8 @@
 
 def test_the_sum_of_the_longest_times_is_what_the_page_of_constants_says():
     rewatch_s, apart_s = policy.WATCH_LEAST_MS / 1000.0, policy.WATCH_MAX_MS / 1000.0
-    for wait_s, longest_s in ((rewatch_s, apart_s), (0.0, relay_module.REWATCH_MOST_S)):
-        assert relay_module.REWATCH_MOST_S <= watch.FIRST_S  # so that no wait follows a try that was silent
+    for wait_s, longest_s in ((rewatch_s, apart_s), (0.0, waits.REWATCH_MOST_S)):
+        assert waits.REWATCH_MOST_S <= watch.FIRST_S  # so that no wait follows a try that was silent
         assert max(watch.SILENCE_S + wait_s, watch.FIRST_S + wait_s, longest_s) + watch.SETTLE_S < HEARD_S
         assert watch.SILENCE_S + watch.FIRST_S + 2.0 * (wait_s + watch.SETTLE_S) < HEARD_S
     assert watch.CONNECT_S < watch.FIRST_S
