--- a/rosewheel/discovery/waits.py
+++ b/rosewheel/discovery/waits.py
@@ -8,6 +8,7 @@
 # as told at once, so a watch has to be open then: one follows the other at no more than these parts of the time that
 # a drain allows, the second part once several have come to nothing. One that lasted longer is followed at once.
 REWATCH_PART, REWATCH_MOST_PART = 8.0, 3.0
+REWATCH_MOST_S = 2.0  # and no more than this from one's beginning to the next one's (see watch.py)
 REWATCH_LEAST_S = 0.02  # Guards the processor, whatever a drain allows
 
 
@@ -26,4 +27,6 @@
         wait = min(grace_s / REWATCH_MOST_PART, grace_s / REWATCH_PART * 2.0**self.unheard)
         self.unheard = min(8, self.unheard + 1)
         # Drawn, so that the nodes of a service do not all come back to it at one moment.
-        return max(0.0, max(wait, REWATCH_LEAST_S) * self.random.uniform(0.6, 1.0) - lasted_s)
+        return max(
+            0.0, max(min(wait, REWATCH_MOST_S), REWATCH_LEAST_S) * self.random.uniform(0.6, 1.0) - lasted_s
+        )
--- a/rosewheel/lab/scale/hollow.py
+++ b/rosewheel/lab/scale/hollow.py
@@ -21,7 +21,6 @@
 from rosewheel.decide.interface import ListForm
 from rosewheel.discovery.catalog import Discovery
 from rosewheel.discovery.waits import Waits
-from rosewheel.discovery.watch import SILENCE_PUSHED_S
 from rosewheel.lab.scale import children
 from rosewheel.lab.wire import Address, now_ms
 
@@ -123,7 +122,7 @@
         rng = random.Random(f"{self.seed}/{self.number}/{self.starts}")
         self.waits = Waits(rng)
         self.watch = watch = Discovery(
-            self.where, 0, lambda form, entries: self._told(watch, form), (), SILENCE_PUSHED_S
+            self.where, 0, lambda form, entries: self._told(watch, form), (), spoke=self.waits.heard
         )
         watch.watch()
         if self.machines:
--- a/rosewheel/relay/relay.py
+++ b/rosewheel/relay/relay.py
@@ -20,7 +20,6 @@
 from rosewheel.decide.policy import FEW
 from rosewheel.discovery.catalog import Discovery, Entry, entries_from
 from rosewheel.discovery.waits import Waits
-from rosewheel.discovery.watch import SILENCE_PUSHED_S, SILENCE_S
 from rosewheel.handover.moves import Moves
 from rosewheel.handover.offers import WINDOW
 from rosewheel.handover.service import Handover
@@ -118,7 +117,7 @@
             since if isinstance(since, int) else 0,
             self._heard,
             known,
-            SILENCE_S if config.settings.ask_discovery else SILENCE_PUSHED_S,
+            spoke=self._spoke,
         )
         self.calls: dict[str, Call] = {}
         self.longest_ms = 0.0  # of the requests so far, how long a caller waits at most
@@ -214,7 +213,6 @@
         self.upstream.configure(bounds, crowds=settings.siblings > FEW)
         self._share(bounds.sockets)
         self._shrink()
-        self.discovery.silence_s = SILENCE_S if settings.ask_discovery else SILENCE_PUSHED_S
         self.apply(effects)
         log.info("another configuration holds from now on, %d classes", len(settings.classes))
         pushed = was.settings.ask_discovery and not settings.ask_discovery
@@ -441,6 +439,12 @@
         servers = tuple(server for server, _ in entries)
         self.apply(self.node.members(now_ms(), form, servers))
 
+    def _spoke(self) -> None:
+        """A watch is open on a discovery that works, though it may have no change to tell."""
+        self.waits.heard()
+        if self.config.settings.ask_discovery:
+            self.apply(self.node.members(now_ms(), ListForm.DELTA))
+
     def _rewatch(self) -> None:
         if self.config.settings.ask_discovery:  # they were pushed when this was set; now the module asks
             return
