--- a/tests/machines.py
+++ b/tests/machines.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import socket
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
@@ -16,6 +17,10 @@
 from rosewheel.control.service import Service, Setup
 from rosewheel.control.versions import Document
 
+# A host of this process: a machine that is stopped starts again on its port, which a connection from 127.0.0.1 must not
+# have taken meanwhile.
+HOST = f"127.{64 + os.getpid() // 250 % 128}.{os.getpid() % 250 + 1}.1"
+
 
 class Way:
     """From one place to another. While it is cut nothing comes through and nothing says so; what was written
@@ -61,7 +66,7 @@
     def __init__(self, folder: Path, count: int = 4, writer: str = "c1") -> None:
         self.folder, self.writer = folder, writer
         self.names = [f"c{at + 1}" for at in range(count)]
-        self.sockets = {name: socket.create_server(("127.0.0.1", 0)) for name in self.names}
+        self.sockets = {name: socket.create_server((HOST, 0)) for name in self.names}
         self.addresses: dict[str, Address] = {
             name: sock.getsockname()[:2] for name, sock in self.sockets.items()
         }
