--- /dev/null
+++ b/tests/http/test_pipelining.py
@@ -0,0 +1,123 @@
+"""Clients that send requests ahead of the responses that are due: each gets its own, in order."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from rosewheel.http.request_reader import MAX_PIPELINED_REQUESTS
+from tests.support.sockets import Client, FakeServer, Message, answer, entry, node, run, status, until
+
+
+def request(id: str, service: str = "read", timeout: int = 10_000, body: bytes = b"") -> bytes:
+    """A request on the wire."""
+    method = "GET" if service == "read" else "POST"
+    head = f"{method} /{id} HTTP/1.1\r\nRequest-Id: {id}\r\nRequest-Class: {service}\r\n"
+    return f"{head}Request-Timeout-Ms: {timeout}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+async def echo_path(message: Message, writer: asyncio.StreamWriter) -> None:
+    """Respond with the path of the request."""
+    writer.write(answer(200, message.first.split()[1].encode()))
+
+
+async def responses(client: Client, count: int) -> list[tuple[int, bytes]]:
+    """Status and body of the next responses."""
+    messages = [await client.answer() for _ in range(count)]
+    return [(status(message), message.body if message else b"") for message in messages]
+
+
+@pytest.mark.parametrize("count", [MAX_PIPELINED_REQUESTS, MAX_PIPELINED_REQUESTS + 1, 17, 30, 400])
+def test_requests_sent_at_once_are_all_answered(count: int):
+    async def main() -> None:
+        async with FakeServer(echo_path).up() as server, node([entry("one", server.port)]) as relay:
+            async with Client(relay) as client:
+                client.writer.write(b"".join(request(f"r{number}") for number in range(count)))
+                expected = [(200, b"/r%d" % number) for number in range(count)]
+                assert await responses(client, count) == expected
+                assert relay.budget.used_bytes == 0
+
+    run(main())
+
+
+@pytest.mark.parametrize("count", [MAX_PIPELINED_REQUESTS + 1, 15, 40])
+def test_requests_behind_a_running_one_are_all_answered(count: int):
+    async def main() -> None:
+        gate = asyncio.Event()
+
+        async def respond(message: Message, writer: asyncio.StreamWriter) -> None:
+            await gate.wait()
+            await echo_path(message, writer)
+
+        async with FakeServer(respond).up() as server, node([entry("one", server.port)]) as relay:
+            async with Client(relay) as client:
+                client.writer.write(request("first"))
+                await until(lambda: bool(server.got))
+                client.writer.write(b"".join(request(f"r{number}") for number in range(count)))
+                (connection,) = relay.server.connections
+                await until(lambda: connection.reading_paused)
+                assert len(connection.queued_requests) == MAX_PIPELINED_REQUESTS
+                gate.set()
+                expected = [(200, b"/first")] + [(200, b"/r%d" % number) for number in range(count)]
+                assert await responses(client, count + 1) == expected
+
+    run(main())
+
+
+MALFORMED = {
+    "not HTTP": (b"\x00\x01\r\n\r\n", 400),
+    "too long": (b"GET /" + b"x" * 20_000 + b" HTTP/1.1\r\n", 431),
+    "header twice": (b"GET / HTTP/1.1\r\nRequest-Id: a\r\nRequest-Id: b\r\n\r\n", 400),
+    "no id": (b"GET / HTTP/1.1\r\n\r\n", 400),
+    "id in use": (request("first"), 409),
+}
+
+
+@pytest.mark.parametrize("kind", MALFORMED)
+@pytest.mark.parametrize("ahead", [0, 1, 3])
+def test_a_bad_request_costs_none_before_it_its_response(kind: str, ahead: int):
+    """The response of a running request was the error of the bad one; the queued ones got none."""
+    data, error_status = MALFORMED[kind]
+
+    async def main() -> None:
+        gate, first_gate = asyncio.Event(), asyncio.Event()
+
+        async def respond(message: Message, writer: asyncio.StreamWriter) -> None:
+            await (first_gate if "/first" in message.first else gate).wait()
+            await echo_path(message, writer)
+
+        async with FakeServer(respond).up() as server, node([entry("one", server.port)]) as relay:
+            async with Client(relay) as other, Client(relay) as client:
+                other.writer.write(request("first"))  # its id is in use until its gate opens
+                await until(lambda: len(server.got) == 1)
+                if ahead:
+                    client.writer.write(request("r0"))
+                    await until(lambda: len(server.got) == 2)
+                client.writer.write(b"".join(request(f"r{number}") for number in range(1, ahead)) + data)
+                await client.writer.drain()
+                gate.set()
+                assert await responses(client, ahead) == [(200, b"/r%d" % number) for number in range(ahead)]
+                assert status(await client.answer()) == error_status
+                assert await client.answer() is None
+                first_gate.set()
+                assert status(await other.answer()) == 200
+
+    run(main())
+
+
+@pytest.mark.parametrize("data", [MALFORMED["no id"][0], request("x", service="unknown")])
+def test_requests_that_were_read_behind_a_rejected_one_are_answered(data: bytes):
+    """Its framing was valid, so what follows it is known to be requests."""
+
+    async def main() -> None:
+        async with FakeServer(echo_path).up() as server, node([entry("one", server.port)]) as relay:
+            async with Client(relay) as client:
+                client.writer.write(request("r0") + data + request("r1") + data)
+                assert await responses(client, 1) == [(200, b"/r0")]
+                assert status(await client.answer()) == 400
+                assert await responses(client, 1) == [(200, b"/r1")]
+                assert status(await client.answer()) == 400
+                assert await client.answer() is None
+
+    run(main())
