Requests that were read are answered in order, whatever follows them on the connection

Cause: request_reader raised an error for the ninth complete request of a read, and _reject dropped the active and the queued ones; its error then stood in the place of the first response due. An error at dispatch while the body still arrives was taken for a second response, and the connection closed with none. Change: input is parsed 2 KiB at a time; past eight queued requests the rest of the read stays unparsed and reading pauses (counted in the memory of bodies). An error waits until the responses before it are sent. A duplicate id and a drain refuse a request, and what was read behind it is answered; behind an invalid one nothing is, as before. A response says that it is the last only if nothing that was read is due another one.

--- a/rosewheel/http/downstream_connection.py
+++ b/rosewheel/http/downstream_connection.py
@@ -11,9 +11,9 @@
 from rosewheel.http import half_close
 from rosewheel.http.body import RequestBody
 from rosewheel.http.downstream_detach import DetachableConnection
-from rosewheel.http.errors import BadRequestError
+from rosewheel.http.errors import BadRequestError, RefusedRequestError
 from rosewheel.http.request import DownstreamRequest, origin_form
-from rosewheel.http.request_reader import MAX_PIPELINED_REQUESTS, RequestPhase
+from rosewheel.http.request_reader import RequestPhase
 from rosewheel.http.response_sender import ResponseOwner
 
 log = logging.getLogger("rosewheel.downstream")
@@ -109,6 +109,9 @@
         del self.parser
 
     def _release_requests(self) -> None:
+        self._keep_unparsed(b"")
+        self._pending_rejection = None
+        self.queued_bytes = 0
         for queued in self.queued_requests:
             queued.body.release()
         self.queued_requests.clear()
@@ -188,12 +191,13 @@
             self.transport.resume_reading()
 
     def _must_pause_reading(self) -> bool:
-        budget = self.server.buffer_budget
-        share_bytes = 0 if budget.exceeded else budget.connection_share_bytes
+        if self.unparsed:
+            return True
         incoming = self.incoming_request
         if incoming is None or not incoming.body.streaming:
-            is_full = len(self.queued_requests) >= MAX_PIPELINED_REQUESTS or self.queued_bytes > share_bytes
-            return self.write_blocked or is_full
+            return self.write_blocked or self._queue_is_full()
+        budget = self.server.buffer_budget
+        share_bytes = 0 if budget.exceeded else budget.connection_share_bytes
         body = incoming.body
         window_bytes = STREAM_WINDOW_BYTES if body.reading_started else max(STREAM_WINDOW_BYTES, share_bytes)
         pause = self.write_blocked or body.buffered_bytes > window_bytes
@@ -204,8 +208,8 @@
     # --------------------------------------------------------------------------------------- idle and stalled
 
     def _is_idle(self) -> bool:
-        is_busy = self.active_request is not None or self.queued_requests or self.incoming_request is not None
-        return not is_busy and not self.is_receiving
+        is_busy = self.active_request is not None or self.incoming_request is not None
+        return not is_busy and not self.is_receiving and not self._has_more_requests()
 
     def close_if_idle(self, min_idle_s: float) -> bool:
         """Close the connection if it has been idle for so long; whether it was closed."""
@@ -231,11 +235,12 @@
             now_s: The loop's time.
         """
         inactive_s = now_s - self.last_activity_s
-        if self.phase is RequestPhase.REJECTED:
-            if inactive_s >= RECEIVE_TIMEOUT_S:  # the client does not read the error
-                self.abort()
-        elif self.active_request is not None and self.active_request.response_started:
+        if self.active_request is not None and self.active_request.response_started:
             self._abort_if_not_reading(now_s)
+        elif self.phase is RequestPhase.REJECTED:
+            is_responding = self.active_request is not None or self._has_more_requests()
+            if not is_responding and inactive_s >= RECEIVE_TIMEOUT_S:  # the client does not read the error
+                self.abort()
         elif self.incoming_request is not None:
             # A body may be slow, but must not stop.
             if inactive_s >= RECEIVE_TIMEOUT_S and not self.reading_paused:
@@ -282,13 +287,32 @@
         self.server.mark_idle(self)
 
     def _on_data_parsed(self) -> None:
+        self._mark_partial_head()
+        self._dispatch_next()
+
+    def _mark_partial_head(self) -> None:
         has_only_partial_head = (
             self.phase is RequestPhase.HEAD and self.active_request is None and not self.queued_requests
         )
         self.server.mark_partial(self, has_only_partial_head)
-        self._dispatch_next()
 
     def _dispatch_next(self) -> None:
+        if self.unparsed:
+            self._parse_kept()
+            self._mark_partial_head()
+        self._dispatch_queued()
+        if self.transport is not None:
+            if self.closing_after_request and self.incoming_request is None:
+                self.transport.close()
+            if (
+                self.unparsed and self.active_request is None
+            ):  # not at once: other connections have their turn
+                self.server.loop.call_soon(self._dispatch_next)
+            if self._is_idle():
+                self.server.mark_idle(self)
+            self._update_backpressure()
+
+    def _dispatch_queued(self) -> None:
         while self.active_request is None and self.queued_requests and self.transport is not None:
             request = self.queued_requests.popleft()
             self.queued_bytes -= request.body.received_bytes
@@ -300,12 +324,8 @@
             elif self.expects_continue:
                 self.expects_continue = False
                 self._send(b"HTTP/1.1 100 Continue\r\n\r\n")
-        if self.transport is not None:
-            if self.closing_after_request and self.incoming_request is None:
-                self.transport.close()
-            if self._is_idle():
-                self.server.mark_idle(self)
-            self._update_backpressure()
+            elif self._pending_rejection is not None:
+                self._send_rejection(self._pending_rejection)
 
     def _dispatch(self, request: DownstreamRequest) -> None:
         request.dispatched = True
@@ -327,14 +347,31 @@
         try:
             self.server.request_received(request)
         except BadRequestError as error:
-            # The next requests may be as bad, and at full speed; so each costs the client a new connection.
-            self.active_request = None
-            request.body.release()
-            self._reject(error)
+            self._reject_active(request, error)
         except Exception:
             log.exception("request failed")
             self.respond(request, 500, b"")
 
+    def _reject_active(self, request: DownstreamRequest, error: BadRequestError) -> None:
+        """Respond with an error to a request whose framing is valid, and close.
+
+        The next requests may be as bad, and at full speed; so each costs the client a new connection. What was read
+        behind a valid request that is only refused is answered first.
+        """
+        self.active_request = None
+        request.body.release()
+        has_unread_body = self.incoming_request is request
+        if isinstance(error, RefusedRequestError) and not has_unread_body:
+            self.server.record_rejection(error)
+            self.close_after_response = True
+            self._send_response(error.status, f"{error}\n".encode())
+            return
+        self._release_requests()
+        self.phase = RequestPhase.REJECTED
+        self.server.record_rejection(error)
+        self.server.mark_partial(self, False)
+        self._send_rejection(error, has_unread_body=has_unread_body)
+
     def _reject(self, error: BadRequestError) -> None:
         self.server.mark_partial(self, False)
         super()._reject(error)
--- a/rosewheel/http/downstream_detach.py
+++ b/rosewheel/http/downstream_detach.py
@@ -138,7 +138,7 @@
             return False
         if self._on_detached is not None:
             return False
-        if self.queued_requests or self.closing_after_request:
+        if self.queued_requests or self.unparsed or self.closing_after_request:
             return False
         if self.expects_continue or self.upgrade_framing:
             return False
--- a/rosewheel/http/errors.py
+++ b/rosewheel/http/errors.py
@@ -19,6 +19,10 @@
         self.status = status
 
 
+class RefusedRequestError(BadRequestError):
+    """A valid request that this node can't take at this moment. What its client sent behind it may be taken."""
+
+
 class InvalidResponseError(HttpError):
     """A response of a server that is malformed, too large or unexpected."""
 
--- a/rosewheel/http/request.py
+++ b/rosewheel/http/request.py
@@ -78,6 +78,8 @@
         content_length: Declared size of the body in bytes; None if it is chunked.
         id: Request-Id, once the request was dispatched.
         dispatched: The proxy has received it.
+        completed_s: When its last byte was received, on the loop's clock; None before that, and if it was dispatched
+            before.
         timeout_ms: How long its client waits for the response, from the request's last byte on.
         response_started: A streamed response has begun.
     """
@@ -90,6 +92,7 @@
     content_length: int | None = None
     id: str = ""
     dispatched: bool = False
+    completed_s: float | None = None
     timeout_ms: float = 0.0
     response_started: bool = False
     _first_values: dict[bytes, bytes] | None = None  # by header; made at the first look-up
--- a/rosewheel/http/request_reader.py
+++ b/rosewheel/http/request_reader.py
@@ -23,6 +23,9 @@
 MAX_CHUNK_OVERHEAD_BYTES = 256 * 1024
 MAX_CHUNK_OVERHEAD_FACTOR = 16
 MAX_PIPELINED_REQUESTS = 8  # complete requests of one connection that wait for the responses before theirs
+# Parsed at a time outside of a body of known length: how far a read can exceed the limits of what waits.
+MAX_PARSED_BYTES = 2048
+MAX_PARSED_CHUNKED_BYTES = 16 * 1024
 
 
 class RequestPhase(Enum):
@@ -60,6 +63,7 @@
         phase: What is received next.
         queued_requests: Complete requests that were not dispatched yet (pipelining).
         queued_bytes: Size of their bodies.
+        unparsed: What was read and is not parsed yet, since too many requests are queued.
         active_request: The dispatched request that has no response yet.
         incoming_request: The request whose body is being received; it may be the active one.
         expects_continue: The client waits for `100 Continue` before it sends its body.
@@ -81,6 +85,7 @@
         self.phase: RequestPhase = IDLE
         self.queued_requests: deque[DownstreamRequest] = deque()
         self.queued_bytes = 0
+        self.unparsed = b""
         self.active_request: DownstreamRequest | None = None
         self.incoming_request: DownstreamRequest | None = None
         self.expects_continue = False
@@ -91,10 +96,11 @@
         self.close_after_response = False
         self.last_received_s = server.loop.time()
         self.last_activity_s = self.last_received_s
+        self._parsed_received_s = self.last_received_s  # when what is parsed now was received
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self._partial = PartialRequest()
-        self._messages_begun = self._messages_ended = 0  # within the last read
+        self._messages_begun = self._messages_ended = 0  # within the part that was parsed last
 
     @property
     def is_receiving(self) -> bool:
@@ -111,7 +117,7 @@
         raise NotImplementedError
 
     def _on_data_parsed(self) -> None:
-        """Continue after a read that contained no error."""
+        """Continue after a read."""
         raise NotImplementedError
 
     def _on_request_started(self) -> None:
@@ -129,14 +135,57 @@
     # ---------------------------------------------------------------------------------------------------- parsing
 
     def data_received(self, data: bytes) -> None:
-        """Parse what was received."""
-        phase = self.phase
-        if phase is REJECTED:
+        """Parse what was received, as far as requests may be queued."""
+        if self.phase is REJECTED:
             return
-        self.raw_bytes += len(data)
         self.last_received_s = self.server.loop.time()
         if self.incoming_request is not None:
-            self.last_activity_s = self.server.loop.time()
+            self.last_activity_s = self.last_received_s
+        if self.unparsed:
+            self._keep_unparsed(self.unparsed + data)
+            return
+        self._parsed_received_s = self.last_received_s
+        self._parse(data)
+        self._on_data_parsed()
+
+    def _parse_kept(self) -> None:
+        """Parse what was kept, as far as requests may be queued by now."""
+        if self.unparsed and not self._queue_is_full():
+            data = self.unparsed
+            self._keep_unparsed(b"")
+            self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
+        """Parse a part at a time, and keep the rest once too many requests are queued."""
+        position = 0
+        while position < len(data) and self.phase is not REJECTED:
+            if self._queue_is_full():
+                self._keep_unparsed(data[position:])
+                return
+            part = data[position : position + self._max_parsed_bytes()]
+            position += len(part)
+            self._parse_part(part)
+
+    def _queue_is_full(self) -> bool:
+        budget = self.server.buffer_budget
+        share_bytes = 0 if budget.exceeded else budget.connection_share_bytes
+        return len(self.queued_requests) >= MAX_PIPELINED_REQUESTS or self.queued_bytes > share_bytes
+
+    def _keep_unparsed(self, data: bytes) -> None:
+        self.server.buffer_budget.used_bytes += len(data) - len(self.unparsed)
+        self.unparsed = data
+
+    def _max_parsed_bytes(self) -> int:
+        incoming = self.incoming_request
+        if self.phase is not BODY or incoming is None:
+            return MAX_PARSED_BYTES
+        if incoming.content_length is None:
+            return MAX_PARSED_CHUNKED_BYTES
+        return max(1, incoming.content_length - incoming.body.received_bytes)
+
+    def _parse_part(self, data: bytes) -> None:
+        phase = self.phase
+        self.raw_bytes += len(data)
         self._messages_begun = self._messages_ended = 0
         try:
             self._feed_parser(data)
@@ -155,8 +204,6 @@
             self._reject(BadRequestError(400, f"not HTTP: {error}"))
         except BadRequestError as error:
             self._reject(error)
-        else:
-            self._on_data_parsed()
 
     def _feed_parser(self, data: bytes) -> None:
         while data:
@@ -297,8 +344,6 @@
                 self.last_activity_s = self.server.loop.time()
                 self.server.request_completed(request)
             return
-        if len(self.queued_requests) >= MAX_PIPELINED_REQUESTS:
-            request.body.release()
-            raise BadRequestError(400, "too many requests ahead of their answers")
+        request.completed_s = self._parsed_received_s
         self.queued_bytes += request.body.received_bytes
         self.queued_requests.append(request)
--- a/rosewheel/http/response_sender.py
+++ b/rosewheel/http/response_sender.py
@@ -42,6 +42,9 @@
         self.closing_after_request = False
         self.response_chunked = False
         self.write_blocked = False
+        self._pending_rejection: BadRequestError | None = (
+            None  # sent after the responses that are due before it
+        )
         self._on_writable: Callable[[], None] | None = None  # of the streamed response
         self._unsent_writes = UnsentWrites()
         self._write_progress = WriteProgress()
@@ -70,9 +73,16 @@
         self._unsent_writes.append(data, transport.get_write_buffer_size())
 
     def _must_close(self) -> bool:
-        """Whether the connection is closed after this response."""
+        """Whether the connection is closed after this response: nothing that was read is due another one."""
         must_close = self.close_after_response or self.server.closing or self.over_limit
-        return must_close and not self.queued_requests
+        return must_close and not self._has_more_requests()
+
+    def _has_more_requests(self) -> bool:
+        """Whether a request was read, at least in part or with an error, that was not dispatched yet."""
+        incoming = self.incoming_request
+        if incoming is not None and not incoming.dispatched:
+            return True
+        return bool(self.queued_requests or self.unparsed or self._pending_rejection)
 
     def _send_response(self, status: int, body: bytes, retry_after_ms: float = 0.0) -> None:
         if self.transport is None or self.transport.is_closing():
@@ -102,7 +112,7 @@
         self._continue_after_response()
 
     def _continue_after_response(self) -> None:
-        if self.queued_requests or self.incoming_request is not None:
+        if self._has_more_requests() or self.incoming_request is not None:
             self.server.loop.call_soon(self._dispatch_next)
         elif not self.is_receiving:
             self._mark_idle()
@@ -145,7 +155,7 @@
         request.body.release()
         if self.response_chunked:
             self._send(b"0\r\n\r\n")
-        if self.close_after_response and not self.queued_requests:
+        if self.close_after_response and not self._has_more_requests():
             self._close_when_request_complete()
         else:
             self._continue_after_response()
@@ -171,29 +181,53 @@
     # ------------------------------------------------------------------------------------------------- rejections
 
     def _reject(self, error: BadRequestError) -> None:
-        """Respond with an error and read nothing more.
+        """Read nothing more, and respond with an error once the requests before the invalid one have their responses.
 
-        The queued requests are dropped too: the sender of the invalid bytes may not be the sender of those.
+        A client that wanted the connection closed after the last of them receives no error: it sends no request.
         """
         self.phase = RequestPhase.REJECTED
         self.last_activity_s = self.server.loop.time()
         self.server.record_rejection(error)
-        active, incoming = self.active_request, self.incoming_request
-        response_started = active is not None and active.response_started
-        already_responded = incoming is not None and incoming.dispatched and active is not incoming
+        self._keep_unparsed(b"")
+        incoming = self.incoming_request
+        if incoming is not None and incoming.dispatched:
+            self._reject_dispatched(incoming, error)
+            return
+        if incoming is not None:
+            incoming.body.release()
+            self.incoming_request = None
+        if self.active_request is None and not self.queued_requests:
+            self._send_rejection(error)
+        elif not self.close_after_response:
+            self._pending_rejection = error
+
+    def _reject_dispatched(self, incoming: DownstreamRequest, error: BadRequestError) -> None:
+        """The invalid bytes are in the body of a request that was dispatched before its end."""
+        is_active, response_started = self.active_request is incoming, incoming.response_started
         self._release_requests()
-        self.queued_bytes = 0
+        if is_active and not response_started:
+            self._send_rejection(error)
+        elif self.transport is None or self.transport.is_closing():
+            return
+        elif is_active:  # there is no place for another response within it
+            self.transport.abort()
+        else:  # a second response would be taken for that to another request
+            self.transport.close()
+
+    def _send_rejection(self, error: BadRequestError, *, has_unread_body: bool = False) -> None:
+        """Respond with an error, and close.
+
+        Args:
+            error: The error.
+            has_unread_body: The client is still sending.
+        """
+        self._pending_rejection = None
         transport = self.transport
         if transport is None or transport.is_closing():
             return
-        if response_started:  # there is no place for another response within it
-            transport.abort()
-            return
-        if already_responded:  # a second response would be taken for that to another request
-            transport.close()
-            return
+        self.last_activity_s = self.server.loop.time()
         transport.write(encode_response(error.status, f"{error}\n".encode(), close=True))
-        if error.status in (413, 431):
+        if has_unread_body or error.status in (413, 431):
             half_close.close_after_lingering(transport, self.server.loop)
         else:
             transport.close()
--- a/rosewheel/proxy/requests.py
+++ b/rosewheel/proxy/requests.py
@@ -5,7 +5,7 @@
 import functools
 from collections.abc import Callable
 
-from rosewheel.http.errors import BadRequestError
+from rosewheel.http.errors import BadRequestError, RefusedRequestError
 from rosewheel.http.request import DownstreamRequest
 from rosewheel.http.response_reader import ResponseSink
 from rosewheel.node.errors import DuplicateRequestError
@@ -46,7 +46,7 @@
         try:
             effects = self._parts.node.receive_request(clock.now_ms(), request)
         except DuplicateRequestError as error:
-            raise BadRequestError(409, "this Request-Id is being served already") from error
+            raise RefusedRequestError(409, "this Request-Id is being served already") from error
         self._parts.calls[request.id] = call
         self._parts.apply(effects)
 
@@ -141,7 +141,7 @@
         parts = self._parts
         if parts.server.draining and self._time_left_ms() < min(timeout_ms, MIN_DRAIN_DEADLINE_MS):
             parts.node.statistics.count_request(service, RequestOutcome.SHED)
-            raise BadRequestError(503, "this node stops before the answer could be there")
+            raise RefusedRequestError(503, "this node stops before the answer could be there")
 
     def _time_for_response_ms(self, timeout_ms: float) -> float:
         """How long a client with this timeout waits from its request's last byte on, as seen from here."""
