A server is told what its client has left when the first byte is written

A request that was queued behind a response counted its time from its dispatch. Change: the head is encoded at the moment of writing, by the time that the node says the attempt has left; one whose time is over is not begun. The wait behind earlier responses is taken off the client's time.

--- a/rosewheel/http/exchange.py
+++ b/rosewheel/http/exchange.py
@@ -51,13 +51,13 @@
     """One attempt or health check.
 
     Attributes:
-        head: The request's head; empty once it was written.
+        encode_head: Returns the request's head; called right before its first byte, since it tells the time left.
         on_done: Called once with the result, the server's load report, and the body of a complete response.
         started_s: When it began, on the loop's clock.
         on_sent: Called once the last byte was written.
         on_response_started: Called with the declared length, if any, and a function that resumes the response, once a
             long response begins. Returns its sink, or None if it is no longer expected.
-        is_wanted: Asked right before the first byte, if a connection had to be opened.
+        is_wanted: Asked right before the first byte, if a connection had to be opened: whether the attempt may begin.
         body: The request's body.
         chunked: The body is sent in chunks.
         next_segment: Number of the next segment of the body.
@@ -66,7 +66,7 @@
         connect_task: The task that opens a connection for it.
     """
 
-    head: bytes
+    encode_head: Callable[[], bytes]
     on_done: Callable[[AttemptResult, LoadReport | None, bytes], None]
     started_s: float = 0.0
     on_sent: Callable[[], None] = lambda: None
--- a/rosewheel/http/request.py
+++ b/rosewheel/http/request.py
@@ -108,11 +108,17 @@
         value = self._first_values.get(name)
         return None if value is None else value.decode("latin-1").strip()
 
-    def upstream_head(self, timeout_ms: float) -> tuple[bytes, bool]:
-        """The head with which this request is forwarded, and whether its body is sent in chunks.
+    @property
+    def forwarded_length(self) -> int | None:
+        """Size in bytes of the body as it is forwarded; None if it is sent in chunks."""
+        return self.body.received_bytes if self.body.complete else self.content_length
+
+    def upstream_head(self, timeout_ms: float, length: int | None) -> bytes:
+        """The head with which this request is forwarded.
 
         Args:
             timeout_ms: The value of Request-Timeout-Ms for the server.
+            length: The `forwarded_length` at the start of the attempt: its body is sent accordingly.
         """
         target, authority = origin_form(self.target)
         parts = [b"%b %b HTTP/1.1\r\n" % (self.method, target)]
@@ -127,12 +133,11 @@
             excluded = excluded | (names - SINGLE_VALUE_HEADERS)
         parts += [b"%b: %b\r\n" % pair for pair in self.headers if pair[0] not in excluded]
         parts.append(b"Request-Timeout-Ms: %d\r\n" % max(1, int(timeout_ms)))
-        length = self.body.received_bytes if self.body.complete else self.content_length
         if length is None:
             parts.append(b"Transfer-Encoding: chunked\r\n")
         elif length or self.method != b"GET":
             parts.append(b"Content-Length: %d\r\n" % length)
-        return b"".join((*parts, b"\r\n")), length is None
+        return b"".join((*parts, b"\r\n"))
 
 
 def origin_form(target: bytes) -> tuple[bytes, bytes | None]:
--- a/rosewheel/http/upstream_connection.py
+++ b/rosewheel/http/upstream_connection.py
@@ -137,8 +137,7 @@
             self._request_started_s - self.idle_since_s if self.idle_since_s else 0.0
         )
         self.exchange, exchange.connection = exchange, self
-        head, exchange.head = exchange.head, b""  # it is never sent again; guards memory meanwhile
-        self._send_available(head)
+        self._send_available(exchange.encode_head())
 
     def _send_available(self, unsent: bytes = b"") -> None:
         """Write what is available of the request, as far as the server takes it.
--- a/rosewheel/http/upstream_pool.py
+++ b/rosewheel/http/upstream_pool.py
@@ -101,7 +101,7 @@
         id: str,
         attempt: int,
         host: str,
-        head: bytes,
+        encode_head: Callable[[], bytes],
         body: RequestBody | None = None,
         chunked: bool = False,
         is_wanted: Callable[[], bool] = lambda: True,
@@ -112,14 +112,14 @@
             id: The request's id.
             attempt: Number of the attempt.
             host: The server.
-            head: Of the request.
+            encode_head: Returns the head of the request; called right before its first byte.
             body: Of the request.
             chunked: The body is sent in chunks.
-            is_wanted: Whether the client is still there; asked right before the first byte, if a connection has to be
-                opened.
+            is_wanted: Whether the attempt may still begin; asked right before the first byte, if a connection has to
+                be opened.
         """
         exchange = Exchange(
-            head,
+            encode_head,
             functools.partial(self._attempt_done, id, attempt),
             self.loop.time(),
             self.on_request_sent,
@@ -182,7 +182,7 @@
                 report = report or parse_load_report(body.decode("latin-1"))
                 self.on_health_checked(host, result, (self.loop.time() - started_s) * 1000.0, report)
 
-        exchange = Exchange(head, on_done)
+        exchange = Exchange(lambda: head, on_done)
 
         def on_timeout() -> None:
             if exchange.connect_task is not None:
@@ -350,7 +350,7 @@
         # The list may no longer name the server, and the connection is not used again.
         endpoint = self._detached_endpoint(UpstreamState.decode_response(state))
         connection = UpstreamConnection(self, endpoint)
-        exchange = Exchange(b"", on_done, self.loop.time(), request_sent=True)
+        exchange = Exchange(bytes, on_done, self.loop.time(), request_sent=True)
         connection.restore(exchange, state, sink)
         self.exchanges[id, 0] = exchange
         return connection
--- a/rosewheel/node/core.py
+++ b/rosewheel/node/core.py
@@ -120,6 +120,19 @@
         attempts = request.attempts if request is not None else ()
         return [number for number, attempt in enumerate(attempts) if attempt.result is None]
 
+    def attempt_time_left_ms(self, now: float, id: str, attempt: int) -> float:
+        """How long this attempt may still take; 0 or less where its time is over, or where it has a result.
+
+        The time of a request whose last byte was not received yet has not begun.
+        """
+        request = self.requests.get(id)
+        if request is None or request.attempts[attempt].result is not None:
+            return 0.0
+        timeout_ms = request.attempts[attempt].timeout_ms
+        if not request.complete:
+            return timeout_ms
+        return min(request.attempts[attempt].sent_ms + timeout_ms, request.deadline_ms) - now
+
     def response_in_progress(self, id: str) -> ResponseInProgress | None:
         """The response of this request that is being forwarded while it arrives, if there is one."""
         request = self._table.unfinished(id)
--- a/rosewheel/proxy/effects.py
+++ b/rosewheel/proxy/effects.py
@@ -74,12 +74,21 @@
                 self._on_attempt_finished, effect.id, effect.attempt, AttemptResult.CANCELLED, None, b""
             )
             return
-        head, chunked = request.upstream_head(effect.timeout_ms)
-        wanted = request.connection.is_connected
+        id, attempt, length = effect.id, effect.attempt, request.forwarded_length
+
+        def encode_head() -> bytes:
+            return request.upstream_head(self._time_left_ms(id, attempt), length)
+
+        def is_wanted() -> bool:
+            return request.connection.is_connected() and self._time_left_ms(id, attempt) > 0.0
+
         self._parts.upstream.start_attempt(
-            effect.id, effect.attempt, effect.server, head, request.body, chunked, wanted
+            id, attempt, effect.server, encode_head, request.body, length is None, is_wanted
         )
 
+    def _time_left_ms(self, id: str, attempt: int) -> float:
+        return self._parts.node.attempt_time_left_ms(clock.now_ms(), id, attempt)
+
     def _send_response(self, effect: SendResponse) -> None:
         request = self._parts.calls.pop(effect.id, None)
         if request is None:
--- a/rosewheel/proxy/requests.py
+++ b/rosewheel/proxy/requests.py
@@ -122,8 +122,9 @@
         timeout_ms = parse_number(call.header(b"request-timeout-ms"), "Request-Timeout-Ms", WHOLE_NUMBER)
         if timeout_ms is None or timeout_ms <= 0:
             raise BadRequestError(400, "Request-Timeout-Ms is missing or not positive")
-        self._check_time_left(service, timeout_ms)
         call.timeout_ms = timeout_ms
+        timeout_ms -= self._waited_ms(call)
+        self._check_time_left(service, timeout_ms)
         hint = parse_number(call.header(b"work-hint"), "Work-Hint", DECIMAL_NUMBER)
         return RequestReceived(
             id=id,
@@ -135,6 +136,12 @@
             complete=call.body.complete,
         )
 
+    def _waited_ms(self, call: DownstreamRequest) -> float:
+        """How long a complete request has waited for the responses before its own."""
+        if call.completed_s is None:
+            return 0.0
+        return (self._parts.loop.time() - call.completed_s) * 1000.0
+
     def _check_time_left(self, service: str, timeout_ms: float) -> None:
         """Rejects a request during a shutdown that leaves too little time for its response."""
         self._longest_deadline_ms = max(self._longest_deadline_ms, min(timeout_ms, MAX_DRAIN_DEADLINE_MS))
--- a/tests/proxy/test_reconfiguration.py
+++ b/tests/proxy/test_reconfiguration.py
@@ -244,7 +244,7 @@
 
             monkeypatch.setattr("rosewheel.http.upstream_pool.asyncio.timeout", noted)
             relay.configure(relay.config.settings, Limits(connect_timeout_ms=100.0))
-            relay.upstream.start_attempt("r", 0, "s", b"")
+            relay.upstream.start_attempt("r", 0, "s", bytes)
             relay.configure(relay.config.settings, Limits(connect_timeout_ms=5000.0))
             await until(lambda: 0.1 in waits or 5.0 in waits)
             assert 5.0 not in waits
