Starts of servers count from their notification; a stepped wall clock moves none

Cause: endpoint_list read the offset between the clocks once at import, and mapped every start by it. Change: ServerStartTimes maps each start once.

--- a/benchmarks/lists.py
+++ b/benchmarks/lists.py
@@ -22,6 +22,7 @@
 
 from rosewheel.config.node_config import InitialEndpoints, NodeConfig
 from rosewheel.discovery.endpoint_list import parse_endpoints
+from rosewheel.discovery.start_times import ServerStartTimes
 from rosewheel.node.limits import Limits
 from rosewheel.policy.events import EndpointListForm
 from rosewheel.policy.settings import Idempotency, ServiceClass, Settings
@@ -81,7 +82,9 @@
             await asyncio.sleep(0)
         each.append(time.perf_counter() - began)
         began = time.perf_counter()
-        whole.endpoints.list_updated(EndpointListForm.SNAPSHOT, parse_endpoints(orjson.loads(text)["hosts"]))
+        whole.endpoints.list_updated(
+            EndpointListForm.SNAPSHOT, parse_endpoints(orjson.loads(text)["hosts"], ServerStartTimes())
+        )
         at_once.append(time.perf_counter() - began)
         await asyncio.sleep(0)
     assert set(node.node.servers) == set(whole.node.servers)
--- a/rosewheel/discovery/endpoint_list.py
+++ b/rosewheel/discovery/endpoint_list.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import logging
-import time
 from collections import deque
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 from rosewheel.config.address import Address, parse_address
+from rosewheel.discovery.start_times import ServerStartTimes
 from rosewheel.discovery.watch_client import WatchClient
 from rosewheel.policy.events import EndpointListForm, Server, ServerState
 
@@ -21,18 +21,16 @@
 SERVER_STATES = {"active": ServerState.UP, "leaving": ServerState.DRAINING, "left": ServerState.REMOVED}
 NO_ADDRESS: Address = ("", 0)  # of a server that was removed
 
-# From wall-clock to monotonic milliseconds; read once, so that the same start time is always mapped to the same value.
-MONOTONIC_OFFSET_MS = time.monotonic() * 1000.0 - time.time() * 1000.0
-
 Endpoint = tuple[Server, Address]  # a server, and where to connect
 EndpointListCallback = Callable[[EndpointListForm, list[Endpoint]], None]
 
 
-def parse_endpoints(rows: object) -> list[Endpoint]:
+def parse_endpoints(rows: object, start_times: ServerStartTimes) -> list[Endpoint]:
     """Parse the entries of a list.
 
     Args:
         rows: The `hosts` of a message; anything but a list counts as empty.
+        start_times: Maps the starts of servers to the monotonic clock.
 
     Returns:
         The valid entries. Malformed ones are logged.
@@ -40,21 +38,23 @@
     endpoints: list[Endpoint] = []
     for row in rows if isinstance(rows, list) else ():
         try:
-            endpoints.append(_parse_endpoint(row))
+            endpoints.append(_parse_endpoint(row, start_times))
         except (KeyError, TypeError, ValueError, OverflowError, AttributeError) as error:
             log.warning("endpoint ignored: reason=%s, entry=%.200r", error, row)
     return endpoints
 
 
-def _parse_endpoint(row: dict[str, Any]) -> Endpoint:
+def _parse_endpoint(row: dict[str, Any], start_times: ServerStartTimes) -> Endpoint:
     host, state, born_ms = row["host"], SERVER_STATES[row["health"]], row.get("born_ms") or 0
     if not isinstance(host, str) or not host:
         raise ValueError("host is not a name")
     # A server that was removed may be listed without its address.
     is_removed = state is ServerState.REMOVED and not row.get("dial")
     address = NO_ADDRESS if is_removed else parse_address(row["dial"])
-    launched_ms = float(born_ms) + MONOTONIC_OFFSET_MS if born_ms else None
     zone, block = str(row.get("site") or ""), int(row.get("block") or 0)
+    if state is ServerState.REMOVED:
+        start_times.removed(host)
+    launched_ms = start_times.launched_ms(host, float(born_ms)) if born_ms else None
     return Server(host, zone, block, state, launched_ms), address
 
 
@@ -69,12 +69,19 @@
         on_update: Called with each update, or part of one.
         rows: Entries by host, as last received; None for a host of which only the name is known.
         is_long: A long list was received.
+        start_times: The starts of the servers.
     """
 
-    def __init__(self, on_update: EndpointListCallback, known_hosts: Iterable[str] = ()) -> None:
+    def __init__(
+        self,
+        on_update: EndpointListCallback,
+        known_hosts: Iterable[str] = (),
+        start_times: ServerStartTimes | None = None,
+    ) -> None:
         self.on_update = on_update
         self.rows: dict[str, Any] = dict.fromkeys(known_hosts)
         self.is_long = False
+        self.start_times = start_times or ServerStartTimes()
         self._pending_updates: deque[Iterator[None]] = deque()
         self._next_turn: asyncio.Handle | None = None
 
@@ -103,12 +110,19 @@
 
     def _apply_at_once(self, is_snapshot: bool, rows: list[Any]) -> None:
         if is_snapshot:
-            self.rows.clear()
+            self._forget_missing({row["host"] for row in rows if _has_host(row)})
         for row in rows:
-            if isinstance(row, dict) and isinstance(row.get("host"), str):
+            if _has_host(row):
                 self.rows[row["host"]] = row
         form = EndpointListForm.SNAPSHOT if is_snapshot else EndpointListForm.DELTA
-        self.on_update(form, parse_endpoints(rows))
+        self.on_update(form, parse_endpoints(rows, self.start_times))
+        if rows:
+            self.start_times.list_applied()
+
+    def _forget_missing(self, listed_hosts: set[str]) -> None:
+        for host in self.rows.keys() - listed_hosts:
+            self.start_times.removed(host)
+        self.rows.clear()
 
     def _process_pending(self) -> None:
         self._next_turn = None
@@ -127,8 +141,9 @@
             part = rows[start : start + MAX_ENTRIES_PER_TURN]
             changed = [row for row in part if self._record(row, listed_hosts)]
             if changed or not start:
-                self.on_update(EndpointListForm.DELTA, parse_endpoints(changed))
+                self.on_update(EndpointListForm.DELTA, parse_endpoints(changed, self.start_times))
             yield
+        self.start_times.list_applied()
         if is_snapshot:
             yield from self._remove_missing(listed_hosts)
 
@@ -149,11 +164,16 @@
             part = missing[start : start + MAX_ENTRIES_PER_TURN]
             for host in part:
                 del self.rows[host]
+                self.start_times.removed(host)
             removed = [(Server(host, state=ServerState.REMOVED), NO_ADDRESS) for host in part]
             self.on_update(EndpointListForm.DELTA, removed)
             yield
 
 
+def _has_host(row: Any) -> bool:
+    return isinstance(row, dict) and isinstance(row.get("host"), str)
+
+
 def _hosts_field(message: dict[str, Any]) -> list[Any]:
     rows = message["hosts"]
     if not isinstance(rows, list):
@@ -176,6 +196,7 @@
         known_hosts: Iterable[str] = (),
         silence_timeout_s: float | None = None,
         on_first_line: Callable[[], None] = lambda: None,
+        start_times: ServerStartTimes | None = None,
     ) -> None:
         """Create a watch that is not open yet.
 
@@ -186,8 +207,9 @@
             known_hosts: Of that list.
             silence_timeout_s: How long a watch may receive nothing.
             on_first_line: Called once for each watch that receives a valid line.
+            start_times: The starts of the servers that are known so far.
         """
-        self.endpoint_list = EndpointList(on_update, known_hosts)
+        self.endpoint_list = EndpointList(on_update, known_hosts, start_times)
         super().__init__(
             address,
             revision,
--- a/rosewheel/proxy/endpoints.py
+++ b/rosewheel/proxy/endpoints.py
@@ -8,6 +8,7 @@
 
 from rosewheel.discovery.backoff import WatchBackoff
 from rosewheel.discovery.endpoint_list import Endpoint, parse_endpoints
+from rosewheel.discovery.start_times import ServerStartTimes
 from rosewheel.policy.events import EndpointListForm
 from rosewheel.proxy import clock
 from rosewheel.proxy.parts import ProxyParts
@@ -25,17 +26,21 @@
     Attributes:
         backoff: The delays between two watches.
         list_received: Set once discovery has sent a list.
+        start_times: The starts of the servers in all lists of this process.
     """
 
     def __init__(self, parts: ProxyParts, rng: random.Random) -> None:
         self.backoff = WatchBackoff(rng)
         self.list_received = asyncio.Event()
+        self.start_times = ServerStartTimes()
         self._parts = parts
 
     def apply_known_list(self) -> None:
         """Applies the list that the configuration names as known."""
-        known = self._parts.config.initial_endpoints
-        self.list_updated(EndpointListForm.CACHED, parse_endpoints(known.entries))
+        known = parse_endpoints(self._parts.config.initial_endpoints.entries, self.start_times)
+        self.list_updated(EndpointListForm.CACHED, known)
+        if known:
+            self.start_times.list_applied()
 
     async def wait_for_list(self, shares_listener: bool) -> None:
         """Waits for discovery's first list, for a limited time.
--- a/rosewheel/proxy/proxy.py
+++ b/rosewheel/proxy/proxy.py
@@ -116,8 +116,9 @@
             self.config.discovery_address,
             known.revision,
             self.endpoints.list_updated,
-            [server.address for server, _ in parse_endpoints(known.entries)],
+            [server.address for server, _ in parse_endpoints(known.entries, self.endpoints.start_times)],
             on_first_line=self.endpoints.watch_opened,
+            start_times=self.endpoints.start_times,
         )
 
     # ----------------------------------------------------------- start, drain
--- a/tests/cli/test_run.py
+++ b/tests/cli/test_run.py
@@ -16,6 +16,7 @@
 from rosewheel.config.errors import ConfigError
 from rosewheel.config.platform import load_platform_config
 from rosewheel.discovery.endpoint_list import parse_endpoints
+from rosewheel.discovery.start_times import ServerStartTimes
 from rosewheel.node.core import Node
 from rosewheel.policy.balancer import Balancer
 from rosewheel.policy.events import EndpointListForm, RequestReceived
@@ -232,7 +233,7 @@
                 pytest.fail(f"{path}: {said}")
             continue
         node = Node(config.settings, config.limits, config.seed, 0.0)
-        entries = parse_endpoints(config.initial_endpoints.entries)
+        entries = parse_endpoints(config.initial_endpoints.entries, ServerStartTimes())
         node.update_endpoints(0.0, EndpointListForm.CACHED, tuple(server for server, _ in entries))
         node.receive_request(1.0, RequestReceived("r", config.settings.classes[0].name, 900.0))
         for at in range(1, 40):
--- a/tests/discovery/test_long_lists.py
+++ b/tests/discovery/test_long_lists.py
@@ -12,10 +12,13 @@
 
 from rosewheel.discovery import endpoint_list
 from rosewheel.discovery.endpoint_list import Endpoint, EndpointList, parse_endpoints
+from rosewheel.discovery.start_times import ServerStartTimes
 from rosewheel.policy.events import EndpointListForm, ServerState
 from rosewheel.proxy.proxy import Proxy
 from tests.support.sockets import config, entry, run
 
+START_TIMES = ServerStartTimes()  # of servers that started long ago
+
 ROWS = st.lists(
     st.builds(
         lambda host, port, health: entry(f"s{host}", port, health=health),
@@ -50,7 +53,7 @@
     sliced: dict[str, Any] = {}
     most = [0]
     for into in (whole, sliced):
-        _applied(into, EndpointListForm.SNAPSHOT, parse_endpoints(known))
+        _applied(into, EndpointListForm.SNAPSHOT, parse_endpoints(known, START_TIMES))
 
     def heard(form: EndpointListForm, entries: list[Endpoint]) -> None:
         most[0] = max(most[0], len(entries))
@@ -63,7 +66,7 @@
             _applied(
                 whole,
                 EndpointListForm.SNAPSHOT if is_whole else EndpointListForm.DELTA,
-                parse_endpoints(rows),
+                parse_endpoints(rows, START_TIMES),
             )
         while lists._next_turn is not None:
             await asyncio.sleep(0)
@@ -99,7 +102,7 @@
         relay = Proxy(config([entry("old", 9000)]))
         relay.discovery.start = lambda: None  # type: ignore[method-assign]
         relay.endpoints.list_updated(
-            EndpointListForm.CACHED, parse_endpoints(relay.config.initial_endpoints.entries)
+            EndpointListForm.CACHED, parse_endpoints(relay.config.initial_endpoints.entries, START_TIMES)
         )
         assert "old" in relay.node.servers
         rows = [entry(f"s{at}", 9000) for at in range(count)]
--- a/tests/http/test_request_bodies.py
+++ b/tests/http/test_request_bodies.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from rosewheel.discovery.start_times import ServerStartTimes
 from rosewheel.http import body as body_module
 from rosewheel.http import downstream_connection as server_module
 from rosewheel.http import upstream_connection as connection_module
@@ -106,7 +107,8 @@
                 assert status(got) == 503
                 client.writer.write(byte_pattern(900_000))
                 relay.endpoints.list_updated(
-                    EndpointListForm.SNAPSHOT, discovery.parse_endpoints([entry("s2", two.port)])
+                    EndpointListForm.SNAPSHOT,
+                    discovery.parse_endpoints([entry("s2", two.port)], ServerStartTimes()),
                 )
                 assert status(await client.ask("post")) == 200  # the rest was read past
                 assert relay.node.statistics.classes["post"].shed == 1
