One place decides what may be sent, repeated, accepted, adopted or closed, and counts breaches

New refusals: unsafe work that may have been executed is not sent again whatever the policy decides, a repeat with a key not once its window is over when its late connection comes up, nothing to a server that began to drain meanwhile.

--- a/rosewheel/admin/codec.py
+++ b/rosewheel/admin/codec.py
@@ -100,4 +100,6 @@
         "active": snapshot.active_requests,
         "pool_size": snapshot.endpoints,
         "pool_ejected": snapshot.cordoned_endpoints,
+        "verdicts": snapshot.rules.verdicts,
+        "violations": snapshot.rules.violations,
     }
--- a/rosewheel/http/downstream_connection.py
+++ b/rosewheel/http/downstream_connection.py
@@ -15,6 +15,8 @@
 from rosewheel.http.request import DownstreamRequest, origin_form
 from rosewheel.http.request_reader import RequestPhase
 from rosewheel.http.response_sender import ResponseOwner
+from rosewheel.node.rule_monitor import Act, RuleMonitor
+from rosewheel.node.rules import idle_close_reason
 
 log = logging.getLogger("rosewheel.downstream")
 
@@ -27,6 +29,10 @@
 class ConnectionOwner(ResponseOwner, Protocol):
     """What a connection needs of the server that accepted it."""
 
+    @property
+    def monitor(self) -> RuleMonitor:
+        """Counts verdicts on closes."""
+
     @property
     def draining(self) -> bool:
         """Whether the process shuts down."""
@@ -214,16 +220,21 @@
     def close_if_idle(self, min_idle_s: float) -> bool:
         """Close the connection if it has been idle for so long; whether it was closed."""
         transport = self.transport
-        if transport is None or transport.is_closing() or not self._is_idle():
+        if transport is None or transport.is_closing():
             return False
-        if self.server.loop.time() - self.last_activity_s < min_idle_s:
+        idle_s, is_idle = self.server.loop.time() - self.last_activity_s, self._is_idle()
+        has_unread = is_idle and idle_s >= min_idle_s and self._has_unread_request(transport)
+        reason = idle_close_reason(is_idle, idle_s, min_idle_s, has_unread)
+        if not self.server.monitor.is_allowed(Act.CLOSE_IDLE, reason):
             return False
-        has_unread = half_close.pending_events(transport, select.POLLIN) & select.POLLIN
-        if has_unread and not half_close.peer_has_closed(transport):
-            return False  # a request was received that the loop has not read yet
         transport.close()
         return True
 
+    def _has_unread_request(self, transport: asyncio.Transport) -> bool:
+        """Whether the system has received bytes that the loop has not read yet, and more than the client's end."""
+        has_unread = half_close.pending_events(transport, select.POLLIN) & select.POLLIN
+        return bool(has_unread) and not half_close.peer_has_closed(transport)
+
     def reject_incomplete_request(self) -> None:
         """Free the connection: its request has been incomplete for too long."""
         self._reject(BadRequestError(408, "the request did not arrive in time"))
--- a/rosewheel/http/downstream_server.py
+++ b/rosewheel/http/downstream_server.py
@@ -12,6 +12,7 @@
 from rosewheel.http.errors import BadRequestError
 from rosewheel.http.request import DownstreamRequest
 from rosewheel.listener import BACKLOG
+from rosewheel.node.rule_monitor import Act, Reason, RuleMonitor
 
 log = logging.getLogger("rosewheel.downstream")
 
@@ -44,6 +45,7 @@
         client_disconnected: Called for a dispatched request whose client has disconnected.
         is_healthy: Whether the node can serve requests.
         buffer_budget: Memory for the bodies of requests.
+        monitor: Counts verdicts on connections.
         connections: In the order of their arrival.
         idle_connections: Those without a request, the longest idle first.
         partial_connections: Those with only a part of a head, the longest silent first.
@@ -66,6 +68,7 @@
         on_client_disconnected: Callable[[DownstreamRequest], None],
         is_healthy: Callable[[], bool],
         buffer_budget: BufferBudget,
+        monitor: RuleMonitor | None = None,
     ) -> None:
         self.descriptor_available = descriptor_available
         self.request_received = on_request
@@ -73,6 +76,7 @@
         self.client_disconnected = on_client_disconnected
         self.is_healthy = is_healthy
         self.buffer_budget = buffer_budget
+        self.monitor = monitor or RuleMonitor()
         self.connections: dict[DownstreamConnection, None] = {}
         self.idle_connections: dict[DownstreamConnection, None] = {}
         self.partial_connections: dict[DownstreamConnection, None] = {}
@@ -210,7 +214,9 @@
         self.idle_connections[connection] = None
         # Guards the descriptors, and the servers' share of them.
         is_full = len(self.connections) > self.max_connections and not self.close_longest_idle()
-        connection.over_limit = is_full or not self.descriptor_available()
+        is_full = is_full or not self.descriptor_available()
+        reason = Reason.DESCRIPTORS_EXHAUSTED if is_full else Reason.ALLOWED
+        connection.over_limit = not self.monitor.is_allowed(Act.ACCEPT, reason)
         if connection.over_limit:
             self.over_limit_count += 1
             # Guards the process: past its own limit of descriptors the system accepts nothing for it.
--- a/rosewheel/http/request.py
+++ b/rosewheel/http/request.py
@@ -82,6 +82,7 @@
             before.
         timeout_ms: How long its client waits for the response, from the request's last byte on.
         response_started: A streamed response has begun.
+        has_final_response: The node has decided on its final response.
     """
 
     connection: ResponseWriter
@@ -95,6 +96,7 @@
     completed_s: float | None = None
     timeout_ms: float = 0.0
     response_started: bool = False
+    has_final_response: bool = False
     _first_values: dict[bytes, bytes] | None = None  # by header; made at the first look-up
 
     def header(self, name: bytes) -> str | None:
--- a/rosewheel/http/upstream_pool.py
+++ b/rosewheel/http/upstream_pool.py
@@ -18,6 +18,8 @@
 from rosewheel.http.upstream_detach import DetachCallback, UpstreamState
 from rosewheel.node.idle_timeout import IdleTimeout
 from rosewheel.node.limits import Limits
+from rosewheel.node.rule_monitor import Act, RuleMonitor
+from rosewheel.node.rules import adoption_reason
 from rosewheel.policy.events import AttemptResult
 
 log = logging.getLogger("rosewheel.upstream")
@@ -33,11 +35,20 @@
 HealthCheckedCallback = Callable[[str, AttemptResult, float, LoadReport | None], None]
 
 
+def _is_same_server(endpoint: UpstreamEndpoint, offered: UpstreamState) -> bool:
+    """Whether an offered connection was opened to the process of a server that is listed now."""
+    theirs_ms, ours_ms = offered.launched_ms, endpoint.launched_ms
+    if endpoint.address != offered.address or (theirs_ms is None) is not (ours_ms is None):
+        return False
+    return theirs_ms is None or ours_ms is None or abs(theirs_ms - ours_ms) <= START_TIME_TOLERANCE_MS
+
+
 class UpstreamPool(IdleConnectionPool):
     """The connections to all servers.
 
     Attributes:
         bounds: Limits and timeouts.
+        monitor: Counts verdicts on adoptions.
         descriptor_available: Whether the process may open a descriptor; it may close an idle connection for it.
         on_attempt_ended: Called with id, attempt number, result, load report and body.
         on_health_checked: Called with host, result, duration in milliseconds, and load report.
@@ -59,9 +70,11 @@
         on_response_started: ResponseStartedCallback,
         on_request_sent: Callable[[], None],
         large_fleet: bool = False,
+        monitor: RuleMonitor | None = None,
     ) -> None:
         super().__init__(IdleTimeout(bounds.idle_timeout_ms / 1000.0, large_fleet), bounds.max_sockets)
         self.bounds = bounds
+        self.monitor = monitor or RuleMonitor()
         self.descriptor_available = descriptor_available
         self.on_attempt_ended = on_attempt_ended
         self.on_health_checked = on_health_checked
@@ -312,18 +325,14 @@
 
     def accepts_idle(self, state: dict[str, Any]) -> bool:
         """Whether an idle connection of another process is of use here; see `DetachedUpstream` for its state."""
-        endpoint = self.endpoints.get(state["host"])
-        if endpoint is None or not self.accepts_requests(endpoint.host):
-            return False
-        offered = UpstreamState.decode_idle(state)
-        if endpoint.address != offered.address:
-            return False
-        theirs_ms, ours_ms = offered.launched_ms, endpoint.launched_ms
-        if (theirs_ms is None) is not (ours_ms is None):
-            return False
-        if theirs_ms is not None and ours_ms and abs(theirs_ms - ours_ms) > START_TIME_TOLERANCE_MS:
-            return False
-        return offered.idle_s < self.idle_timeout.close_after_s
+        endpoint, offered = self.endpoints.get(state["host"]), UpstreamState.decode_idle(state)
+        reason = adoption_reason(
+            self.accepts_requests(state["host"]),
+            endpoint is not None and _is_same_server(endpoint, offered),
+            offered.idle_s,
+            self.idle_timeout.close_after_s,
+        )
+        return self.monitor.is_allowed(Act.ADOPT, reason)
 
     async def adopt_idle(self, sock: socket.socket, state: dict[str, Any]) -> None:
         """Continue with an idle connection of another process."""
--- a/rosewheel/node/core.py
+++ b/rosewheel/node/core.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import KeysView
 
 from rosewheel.node.effects import NodeEffect, ResponseStatus, SendResponse
 from rosewheel.node.endpoints import Endpoints
@@ -16,6 +17,8 @@
 from rosewheel.node.limits import Limits
 from rosewheel.node.policy_driver import PolicyDriver
 from rosewheel.node.request_table import LoadReport, RequestTable
+from rosewheel.node.rule_monitor import RuleMonitor
+from rosewheel.node.rules import RequestRules
 from rosewheel.node.statistics import RequestOutcome, Statistics, StatisticsSnapshot
 from rosewheel.node.timers import Timer, TimerKind, TimerQueue
 from rosewheel.policy.balancer import Balancer
@@ -56,8 +59,8 @@
         limits: What the node enforces beside the policy.
         balancer: The policy.
         endpoints: The servers of the endpoint list, and those that are cordoned.
-        service_names: Names of the service classes in the settings.
         statistics: Counters of requests and attempts.
+        rules: What requests and attempts may do at a moment; counts verdicts and violations.
         driver: Hands events to the policy, and applies its actions.
         requests: The requests in flight, by id.
     """
@@ -66,15 +69,21 @@
         self.settings, self.limits = settings, limits
         self.balancer = Balancer(settings, seed, now)
         self.endpoints = Endpoints()
-        self.service_names = frozenset(item.name for item in settings.classes)
+        self._classes = {item.name: item for item in settings.classes}
         self.statistics = Statistics(item.name for item in settings.classes)
         self._table = RequestTable(self.statistics)
         self.requests = self._table.requests
-        self.driver = PolicyDriver(self.balancer, self._table, self.endpoints, limits)
+        self.rules = RequestRules(self._table, self.endpoints, RuleMonitor())
+        self.driver = PolicyDriver(self.balancer, self._table, self.endpoints, limits, self.rules)
         self._handle = self.driver.handle
 
     # ---------------------------------------------------------------- state
 
+    @property
+    def service_names(self) -> KeysView[str]:
+        """Names of the service classes in the settings."""
+        return self._classes.keys()
+
     @property
     def timers(self) -> TimerQueue:
         """The pending timers."""
@@ -120,19 +129,6 @@
         attempts = request.attempts if request is not None else ()
         return [number for number, attempt in enumerate(attempts) if attempt.result is None]
 
-    def attempt_time_left_ms(self, now: float, id: str, attempt: int) -> float:
-        """How long this attempt may still take; 0 or less where its time is over, or where it has a result.
-
-        The time of a request whose last byte was not received yet has not begun.
-        """
-        request = self.requests.get(id)
-        if request is None or request.attempts[attempt].result is not None:
-            return 0.0
-        timeout_ms = request.attempts[attempt].timeout_ms
-        if not request.complete:
-            return timeout_ms
-        return min(request.attempts[attempt].sent_ms + timeout_ms, request.deadline_ms) - now
-
     def response_in_progress(self, id: str) -> ResponseInProgress | None:
         """The response of this request that is being forwarded while it arrives, if there is one."""
         request = self._table.unfinished(id)
@@ -149,6 +145,7 @@
             self.active_requests,
             len(self.servers),
             self.cordoned_endpoint_count,
+            self.rules.monitor.snapshot(),
         )
 
     def longest_remaining_deadline_ms(self, now: float) -> float:
@@ -178,12 +175,15 @@
             # The policy does not see it, so it is not sent anywhere.
             self.statistics.count_request(request.service, RequestOutcome.SHED)
             return [SendResponse(request.id, ResponseStatus.REJECTED)]
+        service_class = self._classes[request.service]
         entry = InFlightRequest(
             request.service,
             request.deadline_at_ms,
             self.settings.max_attempts,
             self.limits.hedging_allowed,
             complete=request.complete,
+            idempotency=service_class.idempotency,
+            dedup_window_ms=service_class.dedup_window_ms,
         )
         self._table.add(request.id, entry)
         if request.complete:
@@ -337,7 +337,7 @@
             raise SettingsFailedError(error) from error
         self.settings, self.limits = settings, limits
         self.driver.limits = limits
-        self.service_names = frozenset(item.name for item in settings.classes)
+        self._classes = {item.name: item for item in settings.classes}
         self.statistics.configure(item.name for item in settings.classes)
         self.driver.apply(now, actions)
         return self._handle(now)
--- a/rosewheel/node/in_flight.py
+++ b/rosewheel/node/in_flight.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from rosewheel.policy.events import AttemptResult
+from rosewheel.policy.settings import Idempotency
 
 
 @dataclass(slots=True)
@@ -48,6 +49,8 @@
         complete: Its last byte has been received, and its deadline is known.
         body_discarded: A part of its body is no longer held, so no further attempt can be sent.
         streaming_attempt: The attempt whose response is being forwarded while it arrives.
+        idempotency: Whether it may be executed twice, by the settings at its start.
+        dedup_window_ms: How long a server remembers its key.
     """
 
     service: str
@@ -59,11 +62,32 @@
     complete: bool = True
     body_discarded: bool = False
     streaming_attempt: int | None = None
+    idempotency: Idempotency = Idempotency.NON_IDEMPOTENT
+    dedup_window_ms: float = 0.0
 
     def has_attempt_in_flight(self) -> bool:
         """Whether an attempt has no result yet."""
         return any(attempt.result is None for attempt in self.attempts)
 
+    def may_have_been_executed(self, before: int | None = None) -> bool:
+        """Whether a server may have executed it, or may yet.
+
+        Args:
+            before: Only attempts before this one count.
+        """
+        return self.first_execution_ms(before) is not None
+
+    def first_execution_ms(self, before: int | None = None) -> float | None:
+        """When the first attempt was sent that a server may have executed, or may yet; None without one.
+
+        Args:
+            before: Only attempts before this one count.
+        """
+        for attempt in self.attempts[:before]:
+            if attempt.result is None or not attempt.result.not_executed:
+                return attempt.sent_ms
+        return None
+
 
 class ResponseInProgress(NamedTuple):
     """A response that is being forwarded while it arrives: its request's class, its server, its attempt."""
--- a/rosewheel/node/policy_driver.py
+++ b/rosewheel/node/policy_driver.py
@@ -17,9 +17,10 @@
     StartHealthCheck,
 )
 from rosewheel.node.endpoints import Endpoints
-from rosewheel.node.in_flight import Attempt, InFlightRequest
+from rosewheel.node.in_flight import Attempt
 from rosewheel.node.limits import Limits
 from rosewheel.node.request_table import RequestTable
+from rosewheel.node.rules import RequestRules
 from rosewheel.node.timers import Timer, TimerKind, TimerQueue
 from rosewheel.policy.actions import (
     Action,
@@ -53,10 +54,18 @@
         timers: The pending timers.
     """
 
-    __slots__ = ("_balancer", "_endpoints", "_policy_delays_ms", "_table", "limits", "timers")
+    __slots__ = ("_balancer", "_endpoints", "_policy_delays_ms", "_rules", "_table", "limits", "timers")
 
-    def __init__(self, balancer: Balancer, table: RequestTable, endpoints: Endpoints, limits: Limits) -> None:
+    def __init__(
+        self,
+        balancer: Balancer,
+        table: RequestTable,
+        endpoints: Endpoints,
+        limits: Limits,
+        rules: RequestRules,
+    ) -> None:
         self._balancer, self._table, self._endpoints = balancer, table, endpoints
+        self._rules = rules
         self.limits = limits
         self.timers = TimerQueue(self.is_timer_needed)
         self._policy_delays_ms: dict[str, float] = {}  # the last delay of each timer of the policy
@@ -130,7 +139,7 @@
         if not request.complete and action.timeout_ms:
             remaining_ms = action.timeout_ms
         timeout_ms = min(remaining_ms, action.timeout_ms) if action.timeout_ms else remaining_ms
-        allowed = remaining_ms > 0 and self._may_forward(request, action.server)
+        allowed = self._rules.may_start_attempt(request, action.server, remaining_ms)
         number = len(request.attempts)
         request.attempts.append(Attempt(action.server, now, timeout_ms))
         if not allowed:
@@ -140,16 +149,6 @@
             self.timers.start(now + timeout_ms, TimerKind.ATTEMPT_TIMEOUT, action.id, number)
         self._table.effects.append(StartAttempt(action.id, number, action.server, timeout_ms))
 
-    def _may_forward(self, request: InFlightRequest, server: str) -> bool:
-        """Whether another attempt of this request may be sent to this server, whatever the policy decided."""
-        if request.finished or len(request.attempts) >= request.max_attempts:
-            return False
-        if request.body_discarded or request.streaming_attempt is not None:
-            return False
-        if not self._endpoints.accepts_requests(server):
-            return False
-        return request.hedging_allowed or not request.has_attempt_in_flight()
-
     def is_timer_needed(self, timer: Timer) -> bool:
         """Whether this timer still has an effect when it fires."""
         if timer.kind is TimerKind.POLICY:
--- a/rosewheel/node/statistics.py
+++ b/rosewheel/node/statistics.py
@@ -6,9 +6,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from enum import Enum, auto
 
+from rosewheel.node.rule_monitor import RuleCounts
+
 # Guards memory where names of classes change all the time: counters of the last classes that were removed are kept.
 MAX_REMOVED_CLASSES = 64
 
@@ -40,6 +42,7 @@
         active_requests: Requests without a final response.
         endpoints: Servers in the endpoint list.
         cordoned_endpoints: Servers in the endpoint list that are cordoned.
+        rules: Verdicts and violations of the rules.
     """
 
     classes: dict[str, ClassCounters]
@@ -47,6 +50,7 @@
     active_requests: int
     endpoints: int
     cordoned_endpoints: int
+    rules: RuleCounts = field(default_factory=lambda: RuleCounts({}, {}))
 
 
 class Statistics:
--- a/rosewheel/proxy/effects.py
+++ b/rosewheel/proxy/effects.py
@@ -7,6 +7,7 @@
 import math
 from collections.abc import Callable
 
+from rosewheel.http.request import DownstreamRequest
 from rosewheel.node.effects import (
     AbortAttempt,
     NodeEffect,
@@ -16,6 +17,7 @@
     StartAttempt,
     StartHealthCheck,
 )
+from rosewheel.node.rule_monitor import Act, Reason, Rule
 from rosewheel.policy.events import AttemptResult
 from rosewheel.proxy import clock
 from rosewheel.proxy.parts import ProxyParts
@@ -75,24 +77,36 @@
             )
             return
         id, attempt, length = effect.id, effect.attempt, request.forwarded_length
+        rules = self._parts.node.rules
 
         def encode_head() -> bytes:
-            return request.upstream_head(self._time_left_ms(id, attempt), length)
+            told_ms = rules.time_left_ms(clock.now_ms(), id, attempt)
+            is_client_known = self._parts.calls.get(id) is request
+            rules.check_sent(id, attempt, is_client_known, told_ms, self._client_left_ms(request))
+            return request.upstream_head(told_ms, length)
 
         def is_wanted() -> bool:
-            return request.connection.is_connected() and self._time_left_ms(id, attempt) > 0.0
+            return rules.may_send(clock.now_ms(), id, attempt, request.connection.is_connected())
 
         self._parts.upstream.start_attempt(
             id, attempt, effect.server, encode_head, request.body, length is None, is_wanted
         )
 
-    def _time_left_ms(self, id: str, attempt: int) -> float:
-        return self._parts.node.attempt_time_left_ms(clock.now_ms(), id, attempt)
+    def _client_left_ms(self, request: DownstreamRequest) -> float | None:
+        """What the client has left, by when its request was read; None if it was not complete then."""
+        if request.completed_s is None:
+            return None
+        return request.timeout_ms - (self._parts.loop.time() - request.completed_s) * 1000.0
 
     def _send_response(self, effect: SendResponse) -> None:
-        request = self._parts.calls.pop(effect.id, None)
-        if request is None:
+        request, monitor = self._parts.calls.pop(effect.id, None), self._parts.node.rules.monitor
+        reason = Reason.CLIENT_DISCONNECTED if request is None else Reason.ALLOWED
+        if not monitor.is_allowed(Act.RESPOND, reason) or request is None:
             return
+        if request.has_final_response:
+            monitor.violated(Rule.ONE_RESPONSE, effect.id)
+            return
+        request.has_final_response = True
         connection = request.connection
         if not request.response_started:
             connection.respond(request, effect.status, effect.body, effect.retry_after_ms)
--- a/rosewheel/proxy/proxy.py
+++ b/rosewheel/proxy/proxy.py
@@ -91,6 +91,7 @@
             self.requests.response_started,
             self.node.statistics.count_attempt,
             large_fleet=is_large_fleet(self.config.settings),
+            monitor=self.node.rules.monitor,
         )
 
     def _create_server(self) -> DownstreamServer:
@@ -101,6 +102,7 @@
             self.requests.client_disconnected,
             lambda: self.node.can_serve,
             self.budget,
+            self.node.rules.monitor,
         )
 
     def _create_admin(self) -> AdminServer | None:
--- a/tests/admin/test_admin_server.py
+++ b/tests/admin/test_admin_server.py
@@ -140,6 +140,8 @@
                 "active": 3,
                 "pool_size": 4,
                 "pool_ejected": 1,
+                "verdicts": {},
+                "violations": {},
             }
             raw = b"POST /admin/cordon?member=s%201 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}"
             assert (await call(server.port, raw))[0] == 200
