Slow start: a reset response is no sign of a server that gets too much

Cause: credit shrank with all failed attempts; spoilt responses and resets, which come at any load, are among them. Change: only errors and time-outs count for it.

--- a/rosewheel/policy/pool_load.py
+++ b/rosewheel/policy/pool_load.py
@@ -109,6 +109,8 @@
             server.last_report_ms = now
             return
         server.error_rate += SERVER_GAIN * ((result is not AttemptResult.OK) - server.error_rate)
+        has_failed = result in (AttemptResult.ERROR, AttemptResult.TIMEOUT)
+        server.failure_rate += SERVER_GAIN * (has_failed - server.failure_rate)
         if result in (AttemptResult.OK, AttemptResult.TIMEOUT):  # Guard: a fast error must not look fast
             self._record_latency(now, state, event)
         if result is AttemptResult.OK:
--- a/rosewheel/policy/server_stats.py
+++ b/rosewheel/policy/server_stats.py
@@ -15,6 +15,7 @@
     endpoint: Server
     relative_latency: float | None = None  # smoothed latency over its class's mean
     error_rate: float = 0.0  # smoothed share of failed attempts
+    failure_rate: float = 0.0  # smoothed share of attempts that failed or timed out, but were not reset
     last_outcome_ms: float = -math.inf
     load: float = 0.0  # weight in flight from this process
     sibling_load: float = 0.0  # weight in flight from other processes of this node
--- a/rosewheel/policy/slow_start.py
+++ b/rosewheel/policy/slow_start.py
@@ -30,7 +30,7 @@
         # Guard: where few servers are listed, as after the loss of a zone, what is requested is many times
         # what they can do. A server that receives more than it can do fails most of it, and balancers that
         # have learned nothing else see that.
-        success_factor = min(1.0, (1.0 - server.error_rate) / (1.0 - ACCEPTED_ERROR_RATE))
+        success_factor = min(1.0, (1.0 - server.failure_rate) / (1.0 - ACCEPTED_ERROR_RATE))
         rate = capacity_share * success_factor * self.credit_rate()
         credit = server.credit + rate * (now - server.credit_updated_ms)
         if credit >= 1.0:
