A soak of real processes; failing tests for its first find, a listener that does not accept yet

rosewheel soak node: node processes between emulated servers, discovery and clients, faults drawn by a seed that overlap, and a judge that knows only what clients and servers saw; eight plants to show that it can fail. Traced to a process that restarts: it listens when it binds, waits up to 0.5 s for discovery's list, and accepts only then.

--- a/rosewheel/cli/main.py
+++ b/rosewheel/cli/main.py
@@ -12,6 +12,7 @@
 from rosewheel.cli.scale import scale
 from rosewheel.cli.scenarios import scenarios
 from rosewheel.cli.simulate import simulate
+from rosewheel.cli.soak import soak
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110})
@@ -22,5 +23,5 @@
     """
 
 
-for command in (node, check, control, simulate, scale, demo, emulate, load, experiment, scenarios):
+for command in (node, check, control, simulate, soak, scale, demo, emulate, load, experiment, scenarios):
     main.add_command(command)
--- /dev/null
+++ b/rosewheel/lab/soak/planted_node.py
@@ -0,0 +1,123 @@
+"""Starts a node with a planted fault, to show that a soak can fail. Nothing in the node knows of it.
+
+`python -m rosewheel.lab.soak.planted_node NAME` patches its own process, and then runs the node of the platform.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from rosewheel.__main__ import main as run_node
+from rosewheel.http.downstream_connection import DownstreamConnection
+from rosewheel.http.errors import BadRequestError
+from rosewheel.http.request_reader import MAX_PIPELINED_REQUESTS, RequestReader
+from rosewheel.node.in_flight import InFlightRequest
+from rosewheel.node.rules import RequestRules
+from rosewheel.policy.actions import RejectRequest
+from rosewheel.policy.attempts import Attempts
+from rosewheel.policy.events import EndpointListForm
+from rosewheel.policy.ranking import Ranking
+from rosewheel.proxy.endpoints import EndpointUpdates
+from rosewheel.proxy.requests import RequestHandler
+
+PLANTED_SHARE = 0.03  # of the requests, where a plant affects some
+DRAIN_DELAY_S = 1.0
+
+
+def _stale_deadline() -> None:
+    def time_left_ms(rules: RequestRules, _now: float, id: str, attempt: int) -> float:
+        request = rules._table.requests.get(id)
+        return 0.0 if request is None else request.attempts[attempt].timeout_ms
+
+    _patch(RequestRules, "time_left_ms", time_left_ms)
+    _patch(RequestHandler, "_waited_ms", lambda *_: 0.0)
+
+
+def _rejects_pipelined() -> None:
+    parse = RequestReader._parse
+
+    def parse_all(reader: RequestReader, data: bytes) -> None:
+        parse(reader, data)
+        if reader.unparsed or len(reader.queued_requests) > MAX_PIPELINED_REQUESTS:
+            reader.queued_requests.clear()
+            reader.active_request = None
+            reader._reject(BadRequestError(400, "too many requests ahead of their responses"))
+
+    _patch(RequestReader, "_parse", parse_all)
+
+
+def _unsafe_retry() -> None:
+    _patch(Ranking, "_may_repeat", lambda *_: True)
+    _patch(InFlightRequest, "may_have_been_executed", lambda *_, **__: False)
+
+
+def _closes_over_request() -> None:
+    dispatch = DownstreamConnection._dispatch
+
+    def abort_some(connection: DownstreamConnection, request: Any) -> None:
+        if random.random() < PLANTED_SHARE:
+            connection.abort()
+        else:
+            dispatch(connection, request)
+
+    _patch(DownstreamConnection, "_dispatch", abort_some)
+
+
+def _late_drain() -> None:
+    update = EndpointUpdates.list_updated
+
+    def update_late(updates: EndpointUpdates, form: EndpointListForm, endpoints: Any) -> None:
+        if form is EndpointListForm.DELTA and endpoints:
+            asyncio.get_running_loop().call_later(DRAIN_DELAY_S, update, updates, form, endpoints)
+        else:
+            update(updates, form, endpoints)
+
+    _patch(EndpointUpdates, "list_updated", update_late)
+
+
+def _ignores_disconnects() -> None:
+    _patch(RequestHandler, "client_disconnected", lambda *_: None)
+    _patch(DownstreamConnection, "close_if_disconnected", lambda *_: False)
+
+
+def _second_response() -> None:
+    respond = DownstreamConnection._send_response
+
+    def respond_twice(connection: DownstreamConnection, *arguments: Any, **more: Any) -> None:
+        respond(connection, *arguments, **more)
+        if random.random() < PLANTED_SHARE:
+            respond(connection, *arguments, **more)
+
+    _patch(DownstreamConnection, "_send_response", respond_twice)
+
+
+def _rejects_executed() -> None:
+    def reject(attempts: Attempts, state: Any) -> list[Any]:
+        return [RejectRequest(state.request.id, 0.0), *attempts.end(state)]
+
+    _patch(Attempts, "respond", reject)
+
+
+PLANTS: dict[str, Callable[[], None]] = {
+    "stale-deadline": _stale_deadline,
+    "rejects-pipelined": _rejects_pipelined,
+    "unsafe-retry": _unsafe_retry,
+    "closes-over-request": _closes_over_request,
+    "late-drain": _late_drain,
+    "ignores-disconnects": _ignores_disconnects,
+    "second-response": _second_response,
+    "rejects-executed": _rejects_executed,
+}
+
+
+def _patch(owner: type, name: str, replacement: Callable[..., Any]) -> None:
+    setattr(owner, name, replacement)
+
+
+if __name__ == "__main__":
+    PLANTS[sys.argv.pop(1)]()
+    sys.exit(run_node())
--- /dev/null
+++ b/rosewheel/lab/soak/run.py
@@ -0,0 +1,231 @@
+"""One run of a soak: starts everything, injects the faults of its plan, and has the judge read the records."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+from rosewheel.lab.soak.clients import CLIENT_FAULTS, SoakClient
+from rosewheel.lab.soak.discovery import SoakDiscovery
+from rosewheel.lab.soak.judge import Breach, Judge
+from rosewheel.lab.soak.nodes import SoakNode
+from rosewheel.lab.soak.plan import Fault, FaultKind, SoakPlan
+from rosewheel.lab.soak.records import SoakRecords
+from rosewheel.lab.soak.servers import SoakServer
+
+SERVERS = 8
+CLIENTS_PER_NODE = 5
+LEAVING_S = 1.5  # how long a server drains before it is gone
+CRASHED_S = 0.5
+SETTLE_S = 4.5  # after the last request, for what is abandoned
+LAG_POLL_S = 0.01
+MAX_LISTED = 12
+SERVER_FAULTS = (
+    FaultKind.SERVER_HANG,
+    FaultKind.SERVER_RESET,
+    FaultKind.SERVER_ERROR,
+    FaultKind.SERVER_REJECT,
+    FaultKind.SERVER_UNFRAMED,
+    FaultKind.SERVER_SURPLUS,
+    FaultKind.SERVER_SLOW,
+    FaultKind.SERVER_CLOSE_IDLE,
+)
+DISCOVERY_FAULTS = (FaultKind.DISCOVERY_SILENT, FaultKind.DISCOVERY_SPLIT)
+
+
+class SoakRun:
+    """A run in one event loop: servers, discovery and clients here, nodes as processes."""
+
+    def __init__(self, plan: SoakPlan, folder: Path, plant: str | None = None) -> None:
+        self.plan, self.records = plan, SoakRecords()
+        self._rng = random.Random(f"soak-run-{plan.seed}")
+        self._nodes = [SoakNode(n, folder, self.records, plant, plan.nodes) for n in range(plan.nodes)]
+        self._servers: list[SoakServer] = []
+        self._started_servers = 0
+        self._client_faults: Counter[FaultKind] = Counter()
+        self._active_client_faults: set[FaultKind] = set()
+        self._discovery = SoakDiscovery(self.records, self._node_name, self._fork_rng())
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def _fork_rng(self) -> random.Random:
+        return random.Random(self._rng.getrandbits(64))
+
+    def _node_name(self, number: int) -> str:
+        return self._nodes[number].name
+
+    async def run(self) -> list[Breach]:
+        """Play the plan; returns what the judge found."""
+        lag_task = asyncio.create_task(self._measure_lag())
+        await self._discovery.start(self.plan.nodes)
+        for _ in range(SERVERS):
+            await self._add_server(is_cold=False)
+        for node in self._nodes:
+            self._write_config(node, {})
+        await asyncio.gather(*(node.start() for node in self._nodes))
+        clients = [
+            SoakClient(
+                number,
+                node.address,
+                lambda node=node: node.name,  # type: ignore[misc]
+                self.records,
+                self._active_client_faults,
+                self._fork_rng(),
+            )
+            for number, node in enumerate(node for node in self._nodes for _ in range(CLIENTS_PER_NODE))
+        ]
+        client_tasks = [asyncio.create_task(client.run()) for client in clients]
+        await self._inject_faults()
+        for client in clients:
+            client.stopping = True
+        await asyncio.gather(*client_tasks, *self._tasks)
+        await asyncio.sleep(SETTLE_S)
+        await self._finish()
+        lag_task.cancel()
+        return Judge(self.records).breaches()
+
+    async def _finish(self) -> None:
+        for node in self._nodes:
+            self.records.statistics[node.name] = await node.statistics()
+        await asyncio.gather(*(node.end(is_killed=False) for node in self._nodes))
+        for node in self._nodes:
+            self.records.log_faults += node.log_faults()
+        for server in self._servers:
+            server.crash()
+
+    async def _measure_lag(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            due_s = loop.time() + LAG_POLL_S
+            await asyncio.sleep(LAG_POLL_S)
+            self.records.max_lag_s = max(self.records.max_lag_s, loop.time() - due_s)
+
+    def _write_config(self, node: SoakNode, changes: dict[str, Any]) -> None:
+        known = self._discovery.known_list(node.number)
+        node.write_config(self._discovery.ports[node.number], known, changes)
+
+    async def _add_server(self, is_cold: bool) -> SoakServer:
+        server = SoakServer(f"s{self._started_servers}", self.records, self._node_name, self._fork_rng())
+        self._started_servers += 1
+        if is_cold:
+            server.born_ms = int(time.time() * 1000.0)
+        await server.start(self.plan.nodes)
+        self._servers.append(server)
+        self._discovery.set_state(server, "active")
+        return server
+
+    # --------------------------------------------------------------------------------------------------- faults
+
+    async def _inject_faults(self) -> None:
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        for fault in self.plan.faults:
+            await asyncio.sleep(max(0.0, started_s + fault.at_s - loop.time()))
+            task = asyncio.create_task(self._play(fault))
+            self._tasks.add(task)
+        await asyncio.sleep(max(0.0, started_s + self.plan.seconds - loop.time()))
+
+    async def _play(self, fault: Fault) -> None:
+        if fault.kind in CLIENT_FAULTS:
+            await self._play_client_fault(fault)
+        elif fault.kind in SERVER_FAULTS:
+            server = self._servers[fault.target % len(self._servers)]
+            server.faults.add(fault.kind)
+            await asyncio.sleep(fault.for_s)
+            server.faults.discard(fault.kind)
+        elif fault.kind in DISCOVERY_FAULTS:
+            self._discovery.faults.add(fault.kind)
+            await asyncio.sleep(fault.for_s)
+            self._discovery.heal(fault.kind)
+        elif fault.kind is FaultKind.DISCOVERY_RESET:
+            self._discovery.reset_watches()
+        elif fault.kind is FaultKind.SERVER_DRAIN:
+            await self._drain_server(self._servers[fault.target % len(self._servers)])
+        elif fault.kind is FaultKind.SERVER_CRASH:
+            await self._crash_server(self._servers[fault.target % len(self._servers)])
+        else:
+            await self._play_node_fault(fault, self._nodes[fault.target % len(self._nodes)])
+
+    async def _play_client_fault(self, fault: Fault) -> None:
+        self._client_faults[fault.kind] += 1
+        self._active_client_faults.add(fault.kind)
+        await asyncio.sleep(fault.for_s)
+        self._client_faults[fault.kind] -= 1
+        if not self._client_faults[fault.kind]:
+            self._active_client_faults.discard(fault.kind)
+
+    async def _play_node_fault(self, fault: Fault, node: SoakNode) -> None:
+        match fault.kind:
+            case FaultKind.NODE_TERM | FaultKind.NODE_KILL:
+                is_killed = fault.kind is FaultKind.NODE_KILL
+                await node.restart(is_killed, lambda: self._write_config(node, {}))
+            case FaultKind.NODE_HELD_UP:
+                await node.hold_up()
+            case FaultKind.NODE_RELOAD_BAD:
+                self._write_config(node, {"categories": "none"})
+                node.reload()
+                await asyncio.sleep(fault.for_s)
+                self._write_config(node, {})
+            case _:
+                self._write_config(node, {"invariants": {"coldFrom": 0.1, "coldMs": 6000.0}})
+                node.reload()
+
+    async def _drain_server(self, server: SoakServer) -> None:
+        if len(self._servers) <= SERVERS // 2:
+            return
+        self._servers.remove(server)
+        self._discovery.set_state(server, "leaving")
+        await self._add_server(is_cold=True)
+        await asyncio.sleep(LEAVING_S)
+        self._discovery.set_state(server, "left")
+        await asyncio.sleep(SETTLE_S)
+        server.crash()
+
+    async def _crash_server(self, server: SoakServer) -> None:
+        if server not in self._servers:
+            return
+        server.crash()
+        await asyncio.sleep(CRASHED_S)
+        if server in self._servers:
+            server.born_ms = int(time.time() * 1000.0)
+            await server.start(self.plan.nodes)
+            self._discovery.set_state(server, "active")
+
+
+async def play(plan: SoakPlan, plant: str | None, folder: Path | None) -> dict[str, object]:
+    """Play a plan, and sum up.
+
+    Args:
+        plan: The plan.
+        plant: A fault that is planted into the nodes, by name.
+        folder: Where configurations and logs are kept; a temporary one if None.
+    """
+    with tempfile.TemporaryDirectory() as temporary:
+        run = SoakRun(plan, folder or Path(temporary), plant)
+        breaches = await run.run()
+    return summary(run, breaches, plant)
+
+
+def summary(run: SoakRun, breaches: list[Breach], plant: str | None) -> dict[str, object]:
+    """The summary of a run, as it is printed."""
+    records = run.records
+    rules = Counter(breach.rule for breach in breaches)
+    statuses = Counter(str(r.answers[0][1]) if r.answers else "none" for r in records.requests.values())
+    return {
+        "ok": not breaches,
+        "seed": run.plan.seed,
+        "seconds": run.plan.seconds,
+        "nodes": run.plan.nodes,
+        "plant": plant,
+        "faults": len(run.plan.faults),
+        "requests": len(records.requests),
+        "attempts": len(records.attempts),
+        "statuses": dict(statuses),
+        "max_lag_s": round(records.max_lag_s, 3),
+        "rules": dict(rules),
+        "breaches": [f"{b.rule} {b.request}: {b.detail}" for b in breaches[:MAX_LISTED]],
+    }
--- a/tests/proxy/test_listener.py
+++ b/tests/proxy/test_listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import os
 import socket
 
@@ -11,7 +12,7 @@
 from rosewheel.config.errors import ConfigError
 from rosewheel.listener import open_listener
 from rosewheel.proxy.proxy import Proxy
-from tests.support.sockets import Client, FakeServer, config, entry, run, status, until
+from tests.support.sockets import Client, FakeServer, closed_port, config, entry, run, status, until
 
 
 def test_an_address_is_bound():
@@ -79,3 +80,56 @@
                 new.upstream.close()
 
     run(main())
+
+
+def test_no_client_waits_for_a_process_that_does_not_accept_yet():
+    """A request that lay in the system's queue was counted from when it was read, so servers were told too much."""
+
+    async def main() -> None:
+        gate, waiting = asyncio.Event(), asyncio.Event()
+
+        async def wait_for_list(_shares_listener: bool) -> None:
+            waiting.set()
+            await gate.wait()
+
+        port = closed_port()
+        told = dataclasses.replace(config([]), listen_address=("127.0.0.1", port))
+        relay = Proxy(told)
+        relay.endpoints.wait_for_list = wait_for_list  # type: ignore[method-assign]
+        start = asyncio.create_task(relay.start())
+        await waiting.wait()
+        try:
+            with pytest.raises(ConnectionRefusedError):
+                await asyncio.open_connection("127.0.0.1", port)
+            gate.set()
+            await start
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.close()
+        finally:
+            gate.set()
+            await start
+            relay.discovery.close()
+            relay.upstream.close()
+            relay.server.close()
+
+    run(main())
+
+
+def test_an_address_that_another_process_takes_meanwhile_is_a_bad_configuration():
+    async def main() -> None:
+        port = closed_port()
+        relay = Proxy(dataclasses.replace(config([]), listen_address=("127.0.0.1", port)))
+        other = socket.socket()
+
+        async def wait_for_list(_shares_listener: bool) -> None:
+            other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            other.bind(("127.0.0.1", port))
+            other.listen()
+
+        relay.endpoints.wait_for_list = wait_for_list  # type: ignore[method-assign]
+        with other, pytest.raises(ConfigError, match=f"LB_LISTEN: 127.0.0.1:{port}"):
+            await relay.start()
+        relay.discovery.close()
+        relay.upstream.close()
+
+    run(main())
