A process listens only once it accepts, so that no request waits uncounted

Cause: create_server listened at the bind, before the wait for discovery's list (up to 0.5 s); a client that came again right after a restart lay in the system's queue, and its time was counted from when it was read. Change: bound at the start, so that a bad address still ends the process at once; listening begins with accepting, and an address taken meanwhile is one plain line. test_an_address_is_bound wanted a listening socket at the bind; it wants none now, and one after start_listening.

--- a/rosewheel/lab/soak/clients.py
+++ b/rosewheel/lab/soak/clients.py
@@ -27,6 +27,8 @@
     FaultKind.CLIENTS_STOP,
     FaultKind.CLIENTS_MALFORMED,
 )
+# uvloop raises RuntimeError for a write to a connection that has ended.
+CONNECTION_ERRORS = (OSError, asyncio.IncompleteReadError, RuntimeError)
 METHODS = {RequestKind.READ: "GET", RequestKind.POST: "POST", RequestKind.POINTS: "POST"}
 
 
@@ -116,7 +118,7 @@
                     return
                 if not await self._receive(reader, sent):
                     return
-            except (OSError, asyncio.IncompleteReadError):
+            except CONNECTION_ERRORS:
                 self._mark_closed(sent)
                 return
             if fault is FaultKind.CLIENTS_MALFORMED:
@@ -195,6 +197,6 @@
             writer.write(data[: self._rng.randrange(1, len(data) - 1)])
             async with asyncio.timeout(STOP_BACKSTOP_S):
                 await reader.read(1)
-        except (OSError, TimeoutError):
+        except (*CONNECTION_ERRORS, TimeoutError):
             pass
         self._records.stopped_clients.append(now_s() - started_s)
--- a/rosewheel/lab/soak/discovery.py
+++ b/rosewheel/lab/soak/discovery.py
@@ -103,7 +103,7 @@
                 except TimeoutError:
                     if FaultKind.DISCOVERY_SILENT not in self.faults:
                         _write_chunk(writer, b"\n")
-        except (OSError, asyncio.IncompleteReadError, ValueError):
+        except (OSError, asyncio.IncompleteReadError, ValueError, RuntimeError):
             pass
         finally:
             self._watches.discard(writer)
--- a/rosewheel/lab/soak/servers.py
+++ b/rosewheel/lab/soak/servers.py
@@ -95,7 +95,7 @@
             while await self._serve_one(reader, writer, node):
                 if FaultKind.SERVER_CLOSE_IDLE in self.faults and self.rng.random() < FAULT_SHARE:
                     break
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError, RuntimeError):
             pass
         finally:
             self._writers.discard(writer)
--- a/rosewheel/listener.py
+++ b/rosewheel/listener.py
@@ -13,20 +13,37 @@
 from rosewheel.config.address import Address
 from rosewheel.config.errors import ConfigError
 
+LISTEN_KEY = "LB_LISTEN"
 BACKLOG = 1024  # connections that wait to be accepted; a planned restart brings thousands at once
 
 
 def open_listener(address: Address, inherited: int | None) -> socket.socket:
-    """Return the listening socket: the inherited descriptor's, or one that is bound to the address.
+    """Return the clients' socket: the inherited descriptor's, which listens, or one that is bound to the address.
+
+    A bound one listens only once it is accepted from: a request in the system's queue would lose time that nobody
+    counts.
 
     Raises:
         ConfigError: there is none; the text is one line.
     """
-    return bind(address, "LB_LISTEN") if inherited is None else _adopt(inherited)
+    return bind(address, LISTEN_KEY) if inherited is None else _adopt(inherited)
+
+
+def start_listening(sock: socket.socket) -> None:
+    """Have a bound socket listen; nothing changes for one that does already.
+
+    Raises:
+        ConfigError: Another process listens at its address by now.
+    """
+    try:
+        sock.listen(BACKLOG)
+    except OSError as error:
+        host, port = sock.getsockname()[:2]
+        raise ConfigError(f"{LISTEN_KEY}: {host}:{port}: {error}") from error
 
 
 def bind(address: Address, key: str) -> socket.socket:
-    """Open a listening socket.
+    """Open a socket at an address.
 
     Args:
         address: host and port.
@@ -37,8 +54,14 @@
     """
     host, port = address
     try:
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        return socket.create_server(address, family=family, backlog=BACKLOG)
+        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(address)
+        except OSError:
+            sock.close()
+            raise
+        return sock
     except OSError as error:
         raise ConfigError(f"{key}: {host}:{port}: {error}") from error
 
--- a/rosewheel/proxy/proxy.py
+++ b/rosewheel/proxy/proxy.py
@@ -17,7 +17,7 @@
 from rosewheel.http.downstream_server import DownstreamServer
 from rosewheel.http.request import DownstreamRequest
 from rosewheel.http.upstream_pool import UpstreamPool
-from rosewheel.listener import bind, open_listener
+from rosewheel.listener import bind, open_listener, start_listening
 from rosewheel.node.core import Node
 from rosewheel.node.effects import NodeEffect
 from rosewheel.node.limits import Limits
@@ -149,6 +149,7 @@
         if not self.config.settings.poll_discovery:
             self.discovery.start()
         await self.endpoints.wait_for_list(self.shares_listener)
+        start_listening(sock)
         await self.server.start(sock)
         self.hot_restart.start_serving()
 
--- a/tests/proxy/test_listener.py
+++ b/tests/proxy/test_listener.py
@@ -10,13 +10,15 @@
 import pytest
 
 from rosewheel.config.errors import ConfigError
-from rosewheel.listener import open_listener
+from rosewheel.listener import open_listener, start_listening
 from rosewheel.proxy.proxy import Proxy
 from tests.support.sockets import Client, FakeServer, closed_port, config, entry, run, status, until
 
 
 def test_an_address_is_bound():
     with open_listener(("127.0.0.1", 0), None) as sock:
+        assert not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+        start_listening(sock)
         assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
 
 
