--- a/rosewheel/lab/soak/clients.py
+++ b/rosewheel/lab/soak/clients.py
@@ -21,6 +21,7 @@
 STOP_BACKSTOP_S = 6.0
 PIPELINED = 12
 FAULT_SHARE = 0.3
+SENDS_AHEAD_AND_LEAVES = 0.5
 CLIENT_FAULTS = (
     FaultKind.CLIENTS_LEAVE,
     FaultKind.CLIENTS_PIPELINE,
@@ -104,7 +105,10 @@
             if fault is FaultKind.CLIENTS_STOP:
                 await self._stop_within_request(reader, writer, node)
                 return
-            count = PIPELINED if fault is FaultKind.CLIENTS_PIPELINE else 1
+            sends_ahead = fault is FaultKind.CLIENTS_PIPELINE
+            if fault is FaultKind.CLIENTS_LEAVE:
+                sends_ahead = self._rng.random() < SENDS_AHEAD_AND_LEAVES
+            count = PIPELINED if sends_ahead else 1
             sent = [self._new_request(node, is_reused) for _ in range(count)]
             data = b"".join(self._encode(record) for record in sent)
             if fault is FaultKind.CLIENTS_MALFORMED:
--- a/rosewheel/lab/soak/planted_node.py
+++ b/rosewheel/lab/soak/planted_node.py
@@ -82,6 +82,7 @@
 def _ignores_disconnects() -> None:
     _patch(RequestHandler, "client_disconnected", lambda *_: None)
     _patch(DownstreamConnection, "close_if_disconnected", lambda *_: False)
+    _patch(DownstreamConnection, "eof_received", lambda *_: True)
 
 
 def _second_response() -> None:
