--- a/rosewheel/lab/soak/nodes.py
+++ b/rosewheel/lab/soak/nodes.py
@@ -74,7 +74,8 @@
         self.address: tuple[str, int] = self._reserved.getsockname()[:2]
         self._process: subprocess.Popen[bytes] | None = None
         self._busy = asyncio.Lock()
-        self._folder.mkdir(parents=True)
+        self._folder.mkdir(parents=True, exist_ok=True)
+        self.log_path.unlink(missing_ok=True)  # of an earlier run
 
     @property
     def name(self) -> str:
