--- a/rosewheel/lab/soak/run.py
+++ b/rosewheel/lab/soak/run.py
@@ -192,9 +192,19 @@
         await asyncio.sleep(CRASHED_S)
         if server in self._servers:
             server.born_ms = int(time.time() * 1000.0)
-            await server.start(self.plan.nodes)
+            while not await self._try_start(server):
+                await asyncio.sleep(CRASHED_S)
             self._discovery.set_state(server, "active")
 
+    async def _try_start(self, server: SoakServer) -> bool:
+        """Start a server again; False where a connection of the run holds one of its ports."""
+        try:
+            await server.start(self.plan.nodes)
+        except OSError:
+            server.crash()
+            return False
+        return True
+
 
 async def play(plan: SoakPlan, plant: str | None, folder: Path | None) -> dict[str, object]:
     """Play a plan, and sum up.
--- a/rosewheel/lab/soak/servers.py
+++ b/rosewheel/lab/soak/servers.py
@@ -159,6 +159,8 @@
 def reset(writer: asyncio.StreamWriter) -> None:
     """Close a connection with a reset."""
     sock = writer.get_extra_info("socket")
-    with contextlib.suppress(OSError, ValueError):  # ValueError: it has ended
+    if sock is None:  # it has ended
+        return
+    with contextlib.suppress(OSError, ValueError):  # ValueError: it has ended just now
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
