A control machine accepts changes again once its disk does

Cause: DurableLog kept its first failed write or sync until the process ended, so ENOSPC for a minute took the machine out. Change: the next append first reads the accepted records back by their checksums, writes them to a new file, syncs it and its folder, and only then goes on; what can't be read back is reported, and nothing is accepted.

--- a/rosewheel/control/durable_log.py
+++ b/rosewheel/control/durable_log.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import fcntl
 import os
 import struct
@@ -37,7 +38,7 @@
         size: Bytes of all records.
         record_count: How many records there are.
         truncated_bytes: Bytes of an incomplete last record that were cut off when the log was opened.
-        failure: Why no more records are accepted; None while they are.
+        failure: Why no records were accepted at the last call; None once they were.
     """
 
     def __init__(self, directory: str | Path) -> None:
@@ -95,9 +96,10 @@
         """Write and sync records.
 
         Raises:
-            LogWriteError: None of them counts. No more are accepted, since the content of the disk is not known.
+            LogWriteError: None of them counts. No more are accepted before all earlier ones are on a new file, since
+                the content of the disk is not known.
         """
-        self._check_usable()
+        self._recover()
         framed = [_frame(record) for record in records]
         data = b"".join(framed)
         try:
@@ -128,14 +130,17 @@
 
         Raises:
             OSError: The old records stay, and more can be appended.
-            LogWriteError: Which ones a crash would leave is not known; no more are accepted.
+            LogWriteError: Which ones a crash would leave is not known; no more are accepted before that is.
         """
-        self._check_usable()
+        self._recover()
         framed = [_frame(record) for record in records]
         data = b"".join(framed)
+        self._replace_file(data, len(framed))
+
+    def _replace_file(self, data: bytes, record_count: int) -> None:
         file = self._write_replacement(data)
         os.close(self._file)
-        self._file, self.size, self.record_count = file, len(data), len(framed)
+        self._file, self.size, self.record_count = file, len(data), record_count
         try:
             _sync_directory(self.directory)
         except OSError as error:
@@ -157,9 +162,25 @@
             raise
         return file
 
-    def _check_usable(self) -> None:
-        if self.failure is not None:
-            raise LogWriteError(self.failure.path, self.failure.reason) from self.failure
+    def _recover(self) -> None:
+        """After a failure, write all accepted records to a new file: the system may have dropped pages of the old one.
+
+        Raises:
+            LogWriteError: The disk still fails, or the records can't be read back.
+        """
+        if self.failure is None:
+            return
+        try:
+            data = self.path.read_bytes()[: self.size]
+            records, _ = _read_records(data, self.path)
+            if len(records) != self.record_count:
+                raise OSError(errno.EIO, "accepted records are missing")
+            self._replace_file(data, self.record_count)
+        except (OSError, LogDamagedError) as error:
+            reason = getattr(error, "strerror", None) or str(error)
+            self.failure = LogWriteError(self.path, reason)
+            raise self.failure from error
+        self.failure = None
 
     def close(self) -> None:
         """Close the files and release the lock."""
--- a/rosewheel/control/errors.py
+++ b/rosewheel/control/errors.py
@@ -307,7 +307,7 @@
 
 
 class LogWriteError(ControlError, OSError):
-    """A write or sync failed; the log accepts no more until the process starts again.
+    """A write or sync failed; the log accepts no more until all its records are on a new file.
 
     Attributes:
         path: The log's file or directory.
@@ -315,7 +315,7 @@
     """
 
     def __init__(self, path: Path, reason: str) -> None:
-        super().__init__(f"{path}: {reason}: start again")
+        super().__init__(f"{path}: {reason}: nothing is accepted until the disk is written again")
         self.path, self.reason = path, reason
 
 
