--- a/tests/proxy/test_process_state.py
+++ b/tests/proxy/test_process_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 from pathlib import Path
 
@@ -135,3 +136,26 @@
         missing.state.close()
 
     run(main())
+
+
+def test_a_presence_lock_that_fails_at_the_start_is_tried_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+):
+    """Two processes paced warming servers as if each were alone, as long as both lived."""
+
+    async def main() -> None:
+        old, new = Reader(tmp_path), Reader(tmp_path)
+        old.state.start()
+        with monkeypatch.context() as patch:
+
+            def fail(*_: object, **__: object) -> int:
+                raise OSError(errno.ENFILE, "Too many open files in system")
+
+            patch.setattr("rosewheel.proxy.state_file.os.open", fail)
+            new.state.start()
+        await until(lambda: old.company == [2] and new.company == [2])
+        new.state.close()
+        await until(lambda: old.company == [2, 1])
+        old.state.close()
+
+    run(main())
