--- a/rosewheel/proxy/shared_state.py
+++ b/rosewheel/proxy/shared_state.py
@@ -52,20 +52,29 @@
         self._applied_version: FileVersion | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._poll_count = 0
+        self._presence_failed = False  # at the last try
 
     def start(self) -> None:
         """Applies the state file, and polls it from now on where another process can exist."""
         if self._presence is None:
             return
-        try:
-            self._presence.acquire()
-        except OSError as error:
-            log.error("shared state unavailable: error=%s", error)
+        self._acquire_presence(self._presence)
         if self._follow:
             self._poll()
         else:
             self._apply_file()
 
+    def _acquire_presence(self, presence: PresenceLock) -> None:
+        """Announces this process; where that fails, for a moment or longer, the next check tries again."""
+        try:
+            presence.acquire()
+        except OSError as error:
+            if not self._presence_failed:
+                log.error("shared state unavailable: error=%s", error)
+            self._presence_failed = True
+        else:
+            self._presence_failed = False
+
     def follow(self) -> None:
         """Starts to poll where another process exists after all."""
         if not self._follow and self._file is not None:
@@ -144,6 +153,8 @@
 
     def _check_presence(self) -> None:
         """Looks for another process of this node."""
+        if self._presence is not None and not self._presence.is_open:
+            self._acquire_presence(self._presence)
         has_sibling = self._presence.has_others() if self._presence is not None and self._follow else None
         if has_sibling is None or has_sibling is self._has_sibling:
             return
--- a/rosewheel/proxy/state_file.py
+++ b/rosewheel/proxy/state_file.py
@@ -101,9 +101,15 @@
         Raises:
             OSError: The lock file can't be opened or locked.
         """
-        self._descriptor = os.open(self._path, LOCK_FLAGS, LOCK_MODE)
+        if self._descriptor is None:
+            self._descriptor = os.open(self._path, LOCK_FLAGS, LOCK_MODE)
         fcntl.flock(self._descriptor, fcntl.LOCK_SH | fcntl.LOCK_NB)
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the lock file is open; it is locked then, or will be by the next `has_others`."""
+        return self._descriptor is not None
+
     def has_others(self) -> bool | None:
         """Returns whether another process of this node lives, or None where this one holds no lock."""
         if self._descriptor is None:
