--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,10 +1,10 @@
-"""Some equipos hang while clients upload long bodies: does each request get its final answer in time?"""
+"""A planned restart while long answers are written slowly: is each request that came after SIGTERM answered?"""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import socket
+import signal
 import sys
 from pathlib import Path
 
@@ -15,78 +15,86 @@
     Equipo,
     Platform,
     Record,
+    answer_of,
     encode_request,
     free_port,
     read_answer,
     run_case,
 )
 
-EQUIPOS, HANGING = 8, 2
+EQUIPOS = 9
 WORK_S = 0.3
-UPLOADS, INTERVAL_S = 24, 0.25
-SIZES_MB = (8, 10, 12)
+CLIENTS = 24
+ANSWER_BYTES = 256_000  # 4 s at the rate of the page
+FIRST_S, STEP_S = 0.8, 0.05  # when the clients send their second request, after SIGTERM
+JUDGED_AFTER_S = 0.7  # only a request that came later than this after SIGTERM is lost with SIGKILL
+KILL_AFTER_S = 3.8  # the longest deadline, counted as 3 s, 0.7 s, and some slack
 TIMEOUT_MS = 4000
-LOST_AFTER_S = TIMEOUT_MS / 1000.0 + 0.5 + 0.05  # half a second after its time; each limit grows by 50 ms
-GIVE_UP_S = 10.0  # the client waits on, to tell how late the answer is
+LIMIT_S = 20.0
 
 
 async def play(record: Record, discovery: Discovery, platform: Platform) -> bool:
     """Play the case; return True if the rule was broken."""
     known: set[str] = set()
-    equipos = [Equipo(f"s-{number}", record, WORK_S, known) for number in range(EQUIPOS)]
-    for equipo in equipos:
-        await equipo.start(discovery)
+    sizes: dict[str, int] = {}
+    for number in range(EQUIPOS):
+        await Equipo(f"s-{number}", record, WORK_S, known, answer_bytes=sizes).start(discovery)
     port, loop = free_port(), asyncio.get_running_loop()
-    platform.start(port)
+    node = platform.start(port)
     await platform.wait_ready(port)
+    terminated: asyncio.Future[float] = loop.create_future()
     lost: list[str] = []
+    moment = "SIGTERM" if TROUBLE else "the time at which SIGTERM would come"
 
-    async def upload(request_id: str, size_mb: int) -> None:
-        known.add(request_id)
-        sock = socket.create_connection(("127.0.0.1", port))
-        sock.setblocking(False)
-        data = encode_request(request_id, "subir-foto", TIMEOUT_MS, bytes(size_mb << 20))
-        try:
-            async with asyncio.timeout(GIVE_UP_S):
-                await loop.sock_sendall(sock, data)
-        except (OSError, TimeoutError):
-            record.add(
-                f"{request_id}: {size_mb} MB, the last byte could not be written: not taken, not judged"
-            )
-            sock.close()
-            return
-        written_s = loop.time()
-        reader, writer = await asyncio.open_connection(sock=sock)
-        answer = None
-        with (
-            contextlib.closing(writer),
-            contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError),
-        ):
-            async with asyncio.timeout(GIVE_UP_S):
+    async def client(number: int) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        with contextlib.closing(writer):
+            known.add(first := f"a{number:02}")
+            writer.write(encode_request(first, "comentario", TIMEOUT_MS))
+            record.add(f"client {number}: {first} answered {await read_answer(reader)}")
+            terminated_s = await terminated
+            await asyncio.sleep(max(0.0, terminated_s + FIRST_S + number * STEP_S - loop.time()))
+            if reader.at_eof():
+                record.add(f"client {number}: the node has closed the connection, nothing is sent")
+                return
+            known.add(second := f"b{number:02}")
+            sizes[second] = ANSWER_BYTES
+            writer.write(encode_request(second, "comentario", TIMEOUT_MS))
+            await follow(second, reader, loop.time() - terminated_s)
+
+    async def follow(request_id: str, reader: asyncio.StreamReader, sent_s: float) -> None:
+        began_s, answer = loop.time(), None
+        with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
+            async with asyncio.timeout(LIMIT_S):
                 answer = await read_answer(reader)
-        after_s = loop.time() - written_s
-        is_lost = answer is None or after_s > LOST_AFTER_S
-        if is_lost:
-            lost.append(request_id)
-        verdict = "LOST" if is_lost else "in time"
-        record.add(
-            f"{request_id}: {size_mb} MB, {answer} {after_s:.2f} s after the last byte was written: {verdict}"
+        took_s = loop.time() - began_s
+        crossed = answer is None and not was_begun(record, request_id)
+        is_whole = answer is not None and (
+            answer[0] != 200 or answer[1] == answer_of(request_id, ANSWER_BYTES)
         )
+        if not is_whole and not crossed and sent_s > JUDGED_AFTER_S:
+            lost.append(request_id)
+        text = "cut off" if answer is None else f"{answer[0]}, {len(answer[1])} bytes"
+        record.add(f"{request_id}: sent {sent_s:.2f} s after {moment}, {text} after {took_s:.2f} s")
 
-    async def uploads(name: str, count: int) -> None:
-        async with asyncio.TaskGroup() as group:
-            for number in range(count):
-                group.create_task(upload(f"{name}{number:02}", SIZES_MB[number % len(SIZES_MB)]))
-                await asyncio.sleep(INTERVAL_S)
-
-    await uploads("a", 8)
+    clients = [loop.create_task(client(number)) for number in range(CLIENTS)]
+    await asyncio.sleep(1.5)
     if TROUBLE:
-        for equipo in equipos[:HANGING]:
-            equipo.hangs = True
-        record.add(f"{HANGING} of {EQUIPOS} equipos hang from now on")
-    await uploads("b", UPLOADS)
+        node.send_signal(signal.SIGTERM)
+        record.add("SIGTERM")
+    terminated.set_result(loop.time())
+    if TROUBLE:
+        await asyncio.sleep(KILL_AFTER_S)
+        record.add(f"SIGKILL; exit code of the node before it: {node.poll()}")
+        node.kill()
+    await asyncio.gather(*clients)
     record.add(f"lost: {sorted(lost)}")
     return bool(lost)
 
 
+def was_begun(record: Record, request_id: str) -> bool:
+    """Return whether an equipo has begun the request; if not, the node's close may have crossed it, unread."""
+    return record.contains(f"began {request_id}")
+
+
 run_case(__file__, play)
