Limit the memory of request heads for all connections together

What callers saw: 600 clients that each stopped within a head of 15.9 KB in short lines took a node from 16 MB over its 192 MB within a second. The platform killed it, so that all requests were cut off and later ones found no node.

Cause: a head was limited by its bytes, for each connection alone. In memory each header is a tuple and two byte strings: a trace of allocations gave 321 KB a head (303 KB headers, 18 KB the copy for a hot restart). Nothing counted the heads of all connections. The same objects stayed until a request ended, on an idle connection until the next request, and with an attempt that outlived its client.

Change: http/head_memory.py counts the heads of each connection in a budget of a tenth of the memory limit. Heads are freed with their request.

--- a/rosewheel/http/body.py
+++ b/rosewheel/http/body.py
@@ -10,12 +10,13 @@
 
 
 class BufferBudget:
-    """Memory budget for the request bodies of all connections.
+    """Memory budget for the request bodies, or the request heads, of all connections.
 
-    The limit is soft: above it, bodies are streamed, and each buffers at most the stream window of its connection.
+    The limit is soft. Above it, bodies are streamed, and each buffers at most the stream window of its connection;
+    heads are refused beyond a reserved share of each connection (`head_memory`).
 
     Attributes:
-        limit_bytes: Limit for all bodies together.
+        limit_bytes: Limit for all connections together.
         used_bytes: Bytes that are buffered now.
     """
 
--- a/rosewheel/http/downstream_connection.py
+++ b/rosewheel/http/downstream_connection.py
@@ -114,18 +114,19 @@
 
     def _release_requests(self) -> None:
         self._set_unparsed(b"")
+        self._drop_incomplete_head()
         self._pending_rejection = None
         self.queued_bytes = 0
         for queued in self.queued_requests:
-            queued.body.release()
+            self._release(queued)
         self.queued_requests.clear()
         if self.incoming_request is not None:
-            self.incoming_request.body.release()
+            self._release(self.incoming_request)
             self.incoming_request = None
         active, self.active_request = self.active_request, None
         if active is not None:
             self.server.client_disconnected(active)
-            active.body.release()
+            self._release(active)
 
     def eof_received(self) -> None:
         """Drop the client's requests: a client that closes its sending side is treated as disconnected.
@@ -338,14 +339,14 @@
             # During a hot restart the node stays healthy, whichever of its processes receives the health check.
             is_healthy = self.server.is_healthy() and (self.server.hot_restarting or not self.server.draining)
             self._send_response(200 if is_healthy else 503, b"")
-            request.body.release()
+            self._release(request)
             return
         if self.over_limit:
             self._send_response(503, b"")  # rejected without consulting the policy
-            request.body.release()
+            self._release(request)
             return
         if self.transport is None or self.transport.is_closing() or self.close_if_disconnected():
-            request.body.release()
+            self._release(request)
             return
         self.active_request = request
         self.last_activity_s = self.server.loop.time()
@@ -364,7 +365,7 @@
         `RefusedRequestError`, requests that were read already are served first.
         """
         self.active_request = None
-        request.body.release()
+        self._release(request)
         has_unread_body = self.incoming_request is request
         if isinstance(error, RefusedRequestError) and not has_unread_body:
             self.server.record_rejection(error)
--- a/rosewheel/http/downstream_detach.py
+++ b/rosewheel/http/downstream_detach.py
@@ -186,7 +186,7 @@
         self.transport = None
         active, self.active_request = self.active_request, None
         if active is not None:
-            active.body.release()
+            self._release(active)
         state = DownstreamState(
             is_http_1_0=self.is_http_1_0,
             close_after_response=self.close_after_response,
@@ -197,8 +197,9 @@
         )
         received = self._encode_incomplete_request()
         if self.incoming_request is not None:
-            self.incoming_request.body.release()
+            self._release(self.incoming_request)
             self.incoming_request = None
+        self._drop_incomplete_head()
         del self.parser
         pending_bytes = self._unsent_writes.tail(unsent_bytes) + received
         on_detached(DetachedDownstream(fd, pending_bytes, state.encode(), active))
--- a/rosewheel/http/downstream_server.py
+++ b/rosewheel/http/downstream_server.py
@@ -48,6 +48,7 @@
         client_disconnected: Called for a dispatched request whose client has disconnected.
         is_healthy: Returns whether the node can serve requests.
         buffer_budget: Memory budget for request bodies.
+        head_budget: Memory budget for request heads.
         monitor: Decides whether connections may be accepted and closed, and counts the verdicts.
         connections: All connections, in the order of their arrival.
         idle_connections: Connections without a request, the longest idle first.
@@ -73,6 +74,7 @@
         on_client_disconnected: Callable[[DownstreamRequest], None],
         is_healthy: Callable[[], bool],
         buffer_budget: BufferBudget,
+        head_budget: BufferBudget,
         monitor: RuleMonitor | None = None,
     ) -> None:
         self.descriptor_available = descriptor_available
@@ -81,6 +83,7 @@
         self.client_disconnected = on_client_disconnected
         self.is_healthy = is_healthy
         self.buffer_budget = buffer_budget
+        self.head_budget = head_budget
         self.monitor = monitor or RuleMonitor()
         self.connections: dict[DownstreamConnection, None] = {}
         self.idle_connections: dict[DownstreamConnection, None] = {}
--- a/rosewheel/http/errors.py
+++ b/rosewheel/http/errors.py
@@ -23,6 +23,13 @@
     """A valid request that the node refuses for now. Requests pipelined behind it may be served."""
 
 
+class HeadMemoryError(BadRequestError):
+    """The heads of all connections take too much memory, so that this one is refused."""
+
+    def __init__(self) -> None:
+        super().__init__(503, "too many long heads at once")
+
+
 class InvalidResponseError(HttpError):
     """A server's response that is malformed, too large or unexpected."""
 
--- a/rosewheel/http/partial_request.py
+++ b/rosewheel/http/partial_request.py
@@ -26,8 +26,8 @@
         self.chunk_tracker: ChunkTracker | None = None
 
     def clear(self) -> None:
-        """Discard the position in the body, once the request is complete."""
-        self.chunk_tracker = None
+        """Discard the received bytes, once the request is complete or was rejected."""
+        self.head, self.chunk_tracker = None, None
 
     def start(self, data: bytes | None) -> None:
         """Start a request with its first bytes; None if they could not be separated from those of other requests."""
--- a/rosewheel/http/request.py
+++ b/rosewheel/http/request.py
@@ -81,6 +81,7 @@
         completed_s: When the last byte was received, on the loop's clock; None if the request was dispatched before
             that, or is incomplete.
         timeout_ms: How long the client waits for the response, counted from the last byte of the request.
+        head_bytes: Estimated memory of the head, as `HeadMemory` counts it; 0 once the head was dropped.
         response_started: A streamed response has begun.
         has_final_response: The node has decided on the final response.
     """
@@ -95,6 +96,7 @@
     dispatched: bool = False
     completed_s: float | None = None
     timeout_ms: float = 0.0
+    head_bytes: int = 0
     response_started: bool = False
     has_final_response: bool = False
     _first_values: dict[bytes, bytes] | None = None  # by header name; built on first use
@@ -110,6 +112,10 @@
         value = self._first_values.get(name)
         return None if value is None else value.decode("latin-1").strip()
 
+    def drop_head(self) -> None:
+        """Free the headers. No further attempt can be sent."""
+        self.headers, self._first_values, self.head_bytes = [], None, 0
+
     @property
     def forwarded_length(self) -> int | None:
         """Size in bytes of the body as it is forwarded; None if it is forwarded in chunked encoding."""
--- a/rosewheel/http/request_reader.py
+++ b/rosewheel/http/request_reader.py
@@ -11,14 +11,14 @@
 import httptools
 
 from rosewheel.http.body import BufferBudget, RequestBody
-from rosewheel.http.errors import BadRequestError
+from rosewheel.http.errors import BadRequestError, HeadMemoryError
+from rosewheel.http.head_memory import HeadMemory
 from rosewheel.http.partial_request import PartialRequest
-from rosewheel.http.request import SINGLE_VALUE_HEADERS, DownstreamRequest
+from rosewheel.http.request import DownstreamRequest
+from rosewheel.http.request_head import MAX_BODY_BYTES, MAX_HEAD_BYTES, RequestHead
 
 log = logging.getLogger("rosewheel.downstream")
 
-MAX_BODY_BYTES = 32 << 20
-MAX_HEAD_BYTES = 16 * 1024
 # Limit for the bytes of a chunked body on the wire: this number, plus the factor times the decoded size. Small chunks
 # need several bytes of framing per byte of data.
 MAX_CHUNK_OVERHEAD_BYTES = 256 * 1024
@@ -55,6 +55,10 @@
     def buffer_budget(self) -> BufferBudget:
         """The memory budget for request bodies, shared by all connections."""
 
+    @property
+    def head_budget(self) -> BufferBudget:
+        """The memory budget for request heads, shared by all connections."""
+
     def request_completed(self, request: DownstreamRequest, /) -> None:
         """Handle the last byte of a request that was dispatched before it was complete."""
 
@@ -104,6 +108,7 @@
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self._partial = PartialRequest()
+        self._head_memory = HeadMemory(server.head_budget)
         self._messages_begun = self._messages_ended = 0  # within the last bytes passed to the parser
 
     @property
@@ -136,6 +141,18 @@
         """Respond with an error to invalid bytes, and ignore further input."""
         raise NotImplementedError
 
+    def _release(self, request: DownstreamRequest) -> None:
+        """Free the memory of a request that was answered or rejected, or whose client has disconnected."""
+        request.body.release()
+        self._head_memory.remove(request.head_bytes)
+        request.drop_head()
+
+    def _drop_incomplete_head(self) -> None:
+        """Free the memory of the head that is being received; it will not be parsed further."""
+        self.target, self.headers = b"", []
+        self._partial.clear()
+        self._head_memory.set_incomplete(0, 0)
+
     def data_received(self, data: bytes) -> None:
         """Parse the received bytes until the request queue is full; leave the rest unparsed."""
         if self.phase is REJECTED:
@@ -171,6 +188,8 @@
     def _queue_is_full(self) -> bool:
         budget = self.server.buffer_budget
         share_bytes = 0 if budget.exceeded else budget.connection_share_bytes
+        if self.queued_requests and self._head_memory.exceeded:
+            return True
         return len(self.queued_requests) >= MAX_PIPELINED_REQUESTS or self.queued_bytes > share_bytes
 
     def _set_unparsed(self, data: bytes) -> None:
@@ -194,6 +213,7 @@
             if self.is_receiving:
                 self._track_partial_request(data, phase)
                 self._check_raw_size()
+                self._check_head_memory()
             else:
                 self._partial.clear()
         except httptools.HttpParserCallbackError as error:
@@ -245,6 +265,17 @@
         if self.raw_bytes > MAX_CHUNK_OVERHEAD_BYTES + MAX_CHUNK_OVERHEAD_FACTOR * body_bytes:
             raise BadRequestError(413, "a request without end")
 
+    def _check_head_memory(self) -> None:
+        """Limit the memory of an incomplete head while the heads of all connections take too much.
+
+        Raises:
+            HeadMemoryError: The head is refused.
+        """
+        if self.phase is HEAD:
+            self._head_memory.set_incomplete(self.raw_bytes, len(self.headers))
+            if self._head_memory.exceeded and not self.queued_requests:
+                raise HeadMemoryError
+
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
@@ -277,11 +308,19 @@
             return
         self.phase, self.raw_bytes = BODY, 0
         version, method = self.parser.get_http_version(), self.parser.get_method()
-        self._check_head(version, method)
-        content_length = self._read_framing(version)
-        self.expects_continue = self.expects_continue and content_length != 0 and version == "1.1"
+        self.is_http_1_0 = version == "1.0"
+        head = RequestHead(version, method, self.target, self.headers)
+        size = head.check()
+        content_length, asks_to_continue = head.framing()
+        self.expects_continue = asks_to_continue and content_length != 0 and version == "1.1"
         body = RequestBody(self.server.buffer_budget, self._update_backpressure)
-        self.incoming_request = self._create_request(method, body, content_length)
+        self.incoming_request = request = self._create_request(method, body, content_length)
+        self._head_memory.set_incomplete(0, 0)
+        request.head_bytes = self._head_memory.add(size, len(self.headers))
+        self.target, self.headers = b"", []
+        # Behind an earlier request it waits instead, and reading is paused; see `_queue_is_full`.
+        if self._head_memory.exceeded and self.active_request is None and not self.queued_requests:
+            raise HeadMemoryError
         if self.parser.should_upgrade():
             close = b"" if self.parser.should_keep_alive() else b"Connection: close\r\n"
             if content_length is None:
@@ -290,46 +329,6 @@
                 framing = b"Content-Length: %d" % content_length
             self.upgrade_framing = b"POST / HTTP/1.1\r\n%b%b\r\n\r\n" % (close, framing)
 
-    def _check_head(self, version: str, method: bytes) -> None:
-        """Check the size of the head, and reject what parsers interpret differently (request smuggling).
-
-        Raises:
-            BadRequestError: The head is too large, ambiguous or not supported.
-        """
-        size = len(self.target) + sum([len(name) + len(value) for name, value in self.headers])
-        single = [name for name, _ in self.headers if name in SINGLE_VALUE_HEADERS]
-        if len(single) > 1 and len(set(single)) < len(single):
-            raise BadRequestError(400, "a header stands twice")
-        if size > MAX_HEAD_BYTES:
-            raise BadRequestError(431, "headers too large")
-        self.is_http_1_0 = version == "1.0"
-        if version not in ("1.1", "1.0"):
-            raise BadRequestError(400, "not HTTP/1.1")
-        if method == b"CONNECT":
-            raise BadRequestError(405, "GET and POST only")
-
-    def _read_framing(self, version: str) -> int | None:
-        """Return the declared size of the body in bytes, or None if it is chunked.
-
-        Raises:
-            BadRequestError: The body is too large, or its framing or the expectation is not supported.
-        """
-        content_length: int | None = 0
-        for name, value in self.headers:
-            if name == b"content-length":
-                content_length = int(value)
-                if content_length > MAX_BODY_BYTES:
-                    raise BadRequestError(413, f"bodies hold at most {MAX_BODY_BYTES} bytes")
-            elif name == b"transfer-encoding":
-                content_length = None
-                if value.strip().lower() != b"chunked" or version != "1.1":
-                    raise BadRequestError(400, "Transfer-Encoding is not just chunked")
-            elif name == b"expect":
-                if value.strip().lower() != b"100-continue":
-                    raise BadRequestError(417, "an expectation that is not known")
-                self.expects_continue = True
-        return content_length
-
     def on_body(self, data: bytes) -> None:
         """Append a part of the body.
 
--- a/rosewheel/http/response_sender.py
+++ b/rosewheel/http/response_sender.py
@@ -12,6 +12,9 @@
 from rosewheel.http.response_encoding import encode_response, encode_streamed_head
 from rosewheel.http.write_buffer import UnsentWrites, WriteProgress
 
+# Errors that are sent while the client may still be sending its request.
+STATUSES_WITH_UNREAD_BYTES = frozenset((413, 431, 503))
+
 
 class ResponseSenderOwner(RequestReaderOwner, Protocol):
     """The server of a connection, as `ResponseSender` uses it."""
@@ -104,7 +107,7 @@
             return
         self.active_request = None
         self.last_activity_s = self.server.loop.time()
-        request.body.release()
+        self._release(request)
         self._send_response(status, body, retry_after_ms)
         self._continue_after_response()
 
@@ -149,7 +152,7 @@
             return
         self.active_request, self._on_writable = None, None
         self.last_activity_s = self.server.loop.time()
-        request.body.release()
+        self._release(request)
         if self.response_chunked:
             self._send(b"0\r\n\r\n")
         if self.close_after_response and not self._has_more_requests():
@@ -162,7 +165,7 @@
         if self.active_request is not request or self.transport is None:
             return
         self.active_request, self._on_writable = None, None
-        request.body.release()
+        self._release(request)
         connection_close.reset(self.transport)
 
     def _close_when_request_complete(self) -> None:
@@ -184,12 +187,13 @@
         self.last_activity_s = self.server.loop.time()
         self.server.record_rejection(error)
         self._set_unparsed(b"")
+        self._drop_incomplete_head()
         incoming = self.incoming_request
         if incoming is not None and incoming.dispatched:
             self._reject_dispatched(incoming, error)
             return
         if incoming is not None:
-            incoming.body.release()
+            self._release(incoming)
             self.incoming_request = None
         if self.active_request is None and not self.queued_requests:
             self._send_rejection(error)
@@ -222,7 +226,7 @@
             return
         self.last_activity_s = self.server.loop.time()
         transport.write(encode_response(error.status, f"{error}\n".encode(), close=True))
-        if has_unread_body or error.status in (413, 431):
+        if has_unread_body or error.status in STATUSES_WITH_UNREAD_BYTES:
             connection_close.close_after_lingering(transport, self.server.loop)
         else:
             transport.close()
--- a/rosewheel/proxy/context.py
+++ b/rosewheel/proxy/context.py
@@ -33,6 +33,7 @@
         server: The connections of clients.
         upstream: The connections to servers.
         budget: The memory budget for request bodies.
+        head_budget: The memory budget for request heads.
         discovery: The watch of the endpoint list.
         admin: The admin server, if the configuration has an address for one.
         shared_state: The persistent state that the processes of this node share.
@@ -47,6 +48,7 @@
     server: DownstreamServer
     upstream: UpstreamPool
     budget: BufferBudget
+    head_budget: BufferBudget
     discovery: DiscoveryWatch
     admin: AdminServer | None
     shared_state: SharedState
--- a/rosewheel/proxy/proxy.py
+++ b/rosewheel/proxy/proxy.py
@@ -80,6 +80,7 @@
         self.node = Node(config.settings, config.limits, config.seed, clock.now_ms())
         self.upstream = self._create_upstream()
         self.budget = BufferBudget(0)
+        self.head_budget = BufferBudget(0)
         self.server = self._create_server()
         self.admin = self._create_admin()
         self.snapshots = SnapshotWriter(
@@ -111,6 +112,7 @@
             self.requests.client_disconnected,
             lambda: self.node.can_serve,
             self.budget,
+            self.head_budget,
             self.node.rules.monitor,
         )
 
--- a/rosewheel/proxy/resources.py
+++ b/rosewheel/proxy/resources.py
@@ -17,6 +17,7 @@
 MIN_CLIENTS_OVER_LIMIT = 2
 CLIENTS_OVER_LIMIT_DIVISOR = 32
 BODY_MEMORY_SHARE = 0.15  # share of the memory limit for request bodies
+HEAD_MEMORY_SHARE = 0.1  # share of the memory limit for request heads
 CLIENT_SHARE = 0.85  # share of the descriptors that clients may hold
 MIN_CLIENTS = 6
 
@@ -54,8 +55,9 @@
             # The descriptors of an offered connection are open in both processes until the offer is answered.
             unused = max_sockets - self.predecessor_descriptors - 2 * MAX_PENDING_OFFERS
             sockets = max(sockets, unused)
-        memory_mb = int(context.config.limits.memory_limit_mb / self.process_count * BODY_MEMORY_SHARE)
-        context.budget.limit_bytes = memory_mb << 20
+        memory_bytes = context.config.limits.memory_limit_mb / self.process_count * (1 << 20)
+        context.budget.limit_bytes = int(memory_bytes * BODY_MEMORY_SHARE)
+        context.head_budget.limit_bytes = int(memory_bytes * HEAD_MEMORY_SHARE)
         reserved = min(RESERVED_DESCRIPTORS, max(MIN_RESERVED_DESCRIPTORS, sockets // RESERVED_DIVISOR))
         if context.admin is not None:
             # Reserved, so that clients can't use up the descriptors for connections of operators.
