Reject copies of a request in both processes of a node, from when its head was read

What callers saw: during an upgrade bad clients sent ids of open subir-foto requests; servers executed them a second time, and the bad clients got 200.

Cause: a process rejected an id only if the request was in its own table, and an upgrade has two processes that accept clients and tell each other no ids. The id entered the table only at dispatch, so a copy of a request that waited behind another, or whose body was incomplete, was forwarded within one process too.

Change: http/request_ids.py reserves an id from the end of its head to the end of the request. With two processes each id is also claimed by a lock on a byte of a file in the state folder, which the kernel grants once and ends with the process; messages would leave a window. The old process claims what is open before it answers the new one, which accepts clients only then. After a response has migrated the old process keeps the claim.

--- a/rosewheel/hot_restart/host.py
+++ b/rosewheel/hot_restart/host.py
@@ -64,7 +64,7 @@
         """Called when a sibling has connected."""
 
     def successor_connected(self) -> None:
-        """Called when a successor has connected. The descriptors of a predecessor no longer count."""
+        """Called when a successor has connected, before it is answered. It accepts clients only after the answer."""
 
     def sibling_loads_changed(self, loads: Mapping[str, float]) -> None:
         """Called with the sibling's requests in flight, by server; empty if there is no sibling any more."""
--- a/rosewheel/hot_restart/migration.py
+++ b/rosewheel/hot_restart/migration.py
@@ -168,6 +168,8 @@
     ) -> None:
         host, state = self._host, decode_response_state(connection.state)
         client = self._resumed_client(state.client, connection.pending_bytes, returned)
+        if returned:
+            host.server.request_ids.response_returned(state.request_id)
         if not host.node.adopt_response(_now_ms(), state.request_id, state.class_name, state.server):
             raise MigrationError(f"request {state.request_id} is already in flight")
         upstream: UpstreamConnection | None = None
@@ -233,6 +235,7 @@
     def _deliver(self, client: DetachedDownstream, upstream: DetachedUpstream) -> None:
         host = self._host
         host.client_requests.pop(self._request_id, None)
+        host.server.request_ids.response_migrated(self._request_id)
         host.apply(host.node.response_migrated(_now_ms(), self._request_id))
         state = ResponseState(self._request_id, self._class_name, self._server, client.state, upstream.state)
         descriptors = [client.fd, upstream.fd]
--- a/rosewheel/hot_restart/service.py
+++ b/rosewheel/hot_restart/service.py
@@ -34,6 +34,7 @@
 
 IN_FLIGHT_INTERVAL_S = 0.05  # interval of the reports of requests in flight
 MAX_REPORTED_SERVERS = 500  # limit of servers in a report, so that it fits into one packet
+PREDECESSOR_TIMEOUT_S = 1.0  # how long a successor waits for the first message of its predecessor
 LISTENERS_TIMEOUT_S = 1.0  # how long a successor waits for the listening sockets of its predecessor
 
 
@@ -71,6 +72,7 @@
         self._report_timer: asyncio.TimerHandle | None = None
         self._listeners_received: asyncio.Future[list[int]] | None = None
         self._negotiated: set[Channel] = set()  # channels whose protocol version is agreed
+        self._predecessor_answered = asyncio.Event()  # or its channel is closed
 
     def connect_to_predecessor(self) -> bool:
         """Connects to the running process of this node; returns whether there is one."""
@@ -82,6 +84,21 @@
         self._report_in_flight()
         return True
 
+    @property
+    def has_sibling(self) -> bool:
+        """Whether a channel to another process of the node is open."""
+        return self.predecessor is not None or self.successor is not None
+
+    async def wait_for_predecessor(self) -> None:
+        """Waits until the predecessor, if there is one, has answered: from then on it knows of this process."""
+        if self.predecessor is None:
+            return
+        try:
+            async with asyncio.timeout(PREDECESSOR_TIMEOUT_S):
+                await self._predecessor_answered.wait()
+        except TimeoutError:
+            log.warning("predecessor did not answer: timeout_s=%.1f", PREDECESSOR_TIMEOUT_S)
+
     async def request_listeners(self, *addresses: Address | None) -> list[socket.socket | None]:
         """Requests the listening sockets of the predecessor.
 
@@ -228,6 +245,8 @@
         self._negotiated.add(channel)
         self._host.sibling_connected()
         log.info("sibling process connected: pid=%s, protocol=%d", hello.pid, version)
+        if channel is self.predecessor:
+            self._predecessor_answered.set()
         if channel is not self.predecessor or not descriptors:
             close_descriptors(descriptors)
             return
@@ -259,6 +278,7 @@
     def _channel_closed(self, channel: Channel) -> None:
         self._negotiated.discard(channel)
         if channel is self.predecessor:
+            self._predecessor_answered.set()
             if self.receiver is not None:
                 log.info("predecessor ended: received %s", _format_counts(self.receiver.received))
                 self.receiver.close()
--- a/rosewheel/http/downstream_server.py
+++ b/rosewheel/http/downstream_server.py
@@ -11,6 +11,7 @@
 from rosewheel.http.downstream_connection import DownstreamConnection
 from rosewheel.http.errors import BadRequestError
 from rosewheel.http.request import DownstreamRequest
+from rosewheel.http.request_ids import RequestIds
 from rosewheel.listener import BACKLOG
 from rosewheel.node.rule_monitor import CheckedOperation, Reason, RuleMonitor
 
@@ -49,6 +50,7 @@
         is_healthy: Returns whether the node can serve requests.
         buffer_budget: Memory budget for request bodies.
         head_budget: Memory budget for request heads.
+        request_ids: The Request-Ids that are in use.
         monitor: Decides whether connections may be accepted and closed, and counts the verdicts.
         connections: All connections, in the order of their arrival.
         idle_connections: Connections without a request, the longest idle first.
@@ -75,6 +77,7 @@
         is_healthy: Callable[[], bool],
         buffer_budget: BufferBudget,
         head_budget: BufferBudget,
+        request_ids: RequestIds,
         monitor: RuleMonitor | None = None,
     ) -> None:
         self.descriptor_available = descriptor_available
@@ -84,6 +87,7 @@
         self.is_healthy = is_healthy
         self.buffer_budget = buffer_budget
         self.head_budget = head_budget
+        self.request_ids = request_ids
         self.monitor = monitor or RuleMonitor()
         self.connections: dict[DownstreamConnection, None] = {}
         self.idle_connections: dict[DownstreamConnection, None] = {}
--- a/rosewheel/http/request.py
+++ b/rosewheel/http/request.py
@@ -76,7 +76,7 @@
         headers: Lower-case names and values, in the order received.
         body: The body, as far as it was received.
         content_length: Declared size of the body in bytes; None if it is chunked.
-        id: The Request-Id; empty before the request is dispatched.
+        id: The Request-Id; empty if it is missing or not valid, or before `RequestIds` has read it.
         dispatched: The request is being processed; set before its body is complete if the body is streamed.
         completed_s: When the last byte was received, on the loop's clock; None if the request was dispatched before
             that, or is incomplete.
--- a/rosewheel/http/request_reader.py
+++ b/rosewheel/http/request_reader.py
@@ -16,6 +16,7 @@
 from rosewheel.http.partial_request import PartialRequest
 from rosewheel.http.request import DownstreamRequest
 from rosewheel.http.request_head import MAX_BODY_BYTES, MAX_HEAD_BYTES, RequestHead
+from rosewheel.http.request_ids import RequestIds
 
 log = logging.getLogger("rosewheel.downstream")
 
@@ -59,6 +60,10 @@
     def head_budget(self) -> BufferBudget:
         """The memory budget for request heads, shared by all connections."""
 
+    @property
+    def request_ids(self) -> RequestIds:
+        """The Request-Ids that are in use, for all connections."""
+
     def request_completed(self, request: DownstreamRequest, /) -> None:
         """Handle the last byte of a request that was dispatched before it was complete."""
 
@@ -144,6 +149,7 @@
     def _release(self, request: DownstreamRequest) -> None:
         """Free the memory of a request that was answered or rejected, or whose client has disconnected."""
         request.body.release()
+        self.server.request_ids.release(request)
         self._head_memory.remove(request.head_bytes)
         request.drop_head()
 
@@ -318,6 +324,7 @@
         self._head_memory.set_incomplete(0, 0)
         request.head_bytes = self._head_memory.add(size, len(self.headers))
         self.target, self.headers = b"", []
+        self.server.request_ids.reserve(request)
         # Behind an earlier request it waits instead, and reading is paused; see `_queue_is_full`.
         if self._head_memory.exceeded and self.active_request is None and not self.queued_requests:
             raise HeadMemoryError
--- a/rosewheel/proxy/context.py
+++ b/rosewheel/proxy/context.py
@@ -11,9 +11,11 @@
 from rosewheel.http.body import BufferBudget
 from rosewheel.http.downstream_server import DownstreamServer
 from rosewheel.http.request import DownstreamRequest
+from rosewheel.http.request_ids import RequestIds
 from rosewheel.http.upstream_pool import UpstreamPool
 from rosewheel.node.core import Node
 from rosewheel.node.effects import NodeEffect
+from rosewheel.proxy.request_id_claims import RequestIdSharing
 from rosewheel.proxy.shared_state import SharedState
 
 if TYPE_CHECKING:
@@ -37,6 +39,8 @@
         discovery: The watch of the endpoint list.
         admin: The admin server, if the configuration has an address for one.
         shared_state: The persistent state that the processes of this node share.
+        request_ids: The Request-Ids that are in use.
+        request_id_sharing: Shares them with another process of this node.
         migration: Migrates connections to and from another process of this node.
         client_requests: The client requests without a final response, by id.
     """
@@ -52,6 +56,8 @@
     discovery: DiscoveryWatch
     admin: AdminServer | None
     shared_state: SharedState
+    request_ids: RequestIds
+    request_id_sharing: RequestIdSharing
     migration: Migration
     client_requests: dict[str, DownstreamRequest]
 
--- a/rosewheel/proxy/proxy.py
+++ b/rosewheel/proxy/proxy.py
@@ -16,6 +16,7 @@
 from rosewheel.http.body import BufferBudget
 from rosewheel.http.downstream_server import DownstreamServer
 from rosewheel.http.request import DownstreamRequest
+from rosewheel.http.request_ids import RequestIds
 from rosewheel.http.upstream_pool import UpstreamPool
 from rosewheel.listener import bind, open_listener, start_listening
 from rosewheel.node.core import Node
@@ -28,6 +29,7 @@
 from rosewheel.proxy.cordons import Cordons
 from rosewheel.proxy.effects import EffectRunner
 from rosewheel.proxy.endpoints import EndpointUpdates
+from rosewheel.proxy.request_id_claims import RequestIdSharing
 from rosewheel.proxy.requests import MAX_DRAIN_DEADLINE_MS, RequestHandler
 from rosewheel.proxy.resources import Resources
 from rosewheel.proxy.shared_state import SharedState
@@ -81,6 +83,7 @@
         self.upstream = self._create_upstream()
         self.budget = BufferBudget(0)
         self.head_budget = BufferBudget(0)
+        self.request_ids = RequestIds(self.node.requests.__contains__)
         self.server = self._create_server()
         self.admin = self._create_admin()
         self.snapshots = SnapshotWriter(
@@ -89,6 +92,12 @@
         self.migration = Migration(self)
         folder = config.state_folder if config.hot_restart_allowed else None
         self.hot_restart = HotRestart(folder, config.name, self.siblings, self.migration)
+        self.request_id_sharing = RequestIdSharing(
+            folder,
+            self.request_ids,
+            lambda: list(self.node.requests),
+            lambda: self.shared_state.has_sibling or self.hot_restart.has_sibling,
+        )
         self.discovery = self._create_discovery()
         self.resources.divide(config.limits.max_sockets)
 
@@ -113,6 +122,7 @@
             lambda: self.node.can_serve,
             self.budget,
             self.head_budget,
+            self.request_ids,
             self.node.rules.monitor,
         )
 
@@ -146,7 +156,10 @@
         """
         # The sockets are opened first, so that an invalid address ends the process before it contacts discovery.
         inherited, admin_socket = self.config.inherited_descriptor, None
-        if self.hot_restart.connect_to_predecessor() and inherited is None:
+        has_predecessor = self.hot_restart.connect_to_predecessor()
+        if has_predecessor:
+            self.request_id_sharing.start()
+        if has_predecessor and inherited is None:
             listen, ops = self.config.listen_address, self.config.admin_address
             client_socket, admin_socket = await self.hot_restart.request_listeners(listen, ops)
             self.shares_listener = client_socket is not None
@@ -160,6 +173,7 @@
         if not self.config.settings.poll_discovery:
             self.discovery.start()
         await self.endpoints.wait_for_list(self.shares_listener)
+        await self.hot_restart.wait_for_predecessor()  # it has then claimed the ids of its requests
         start_listening(sock)
         await self.server.start(sock)
         self.hot_restart.start_serving()
@@ -188,6 +202,7 @@
         await self.server.drain(longest_ms / 1000.0, self.shares_listener or migrates, migrate_next)
         self.stopped = True
         self.hot_restart.close()
+        self.request_id_sharing.close()
         if self.admin is not None:
             self.admin.close()
         self.shared_state.close()
--- a/rosewheel/proxy/requests.py
+++ b/rosewheel/proxy/requests.py
@@ -7,6 +7,7 @@
 
 from rosewheel.http.errors import BadRequestError, RefusedRequestError
 from rosewheel.http.request import DownstreamRequest
+from rosewheel.http.request_ids import MAX_REQUEST_ID_LENGTH
 from rosewheel.http.response_reader import ResponseSink
 from rosewheel.node.errors import DuplicateRequestError
 from rosewheel.node.statistics import RequestOutcome
@@ -16,7 +17,7 @@
 from rosewheel.proxy.headers import DECIMAL_NUMBER, WHOLE_NUMBER, parse_number
 
 METHODS = (b"GET", b"POST")
-MAX_REQUEST_ID_LENGTH = 256
+DUPLICATE_ID_MESSAGE = "this Request-Id is being served already"
 # A drain lasts as long as the longest request timeout so far, limited to MAX_DRAIN_DEADLINE_MS, plus DRAIN_MARGIN_MS.
 # A request that arrives during the drain has to finish by its end. It is rejected if that leaves less time than both
 # its own timeout and MIN_DRAIN_DEADLINE_MS, since an attempt would rarely finish.
@@ -41,11 +42,12 @@
             BadRequestError: The request can't be accepted.
         """
         event = self._parse(request)
-        request.id = event.id
+        if not self._context.request_ids.reserve(request):
+            raise RefusedRequestError(409, DUPLICATE_ID_MESSAGE)
         try:
             effects = self._context.node.receive_request(clock.now_ms(), event)
         except DuplicateRequestError as error:
-            raise RefusedRequestError(409, "this Request-Id is being served already") from error
+            raise RefusedRequestError(409, DUPLICATE_ID_MESSAGE) from error
         self._context.client_requests[event.id] = request
         self._context.apply(effects)
 
--- a/rosewheel/proxy/shared_state.py
+++ b/rosewheel/proxy/shared_state.py
@@ -74,6 +74,11 @@
         else:
             self._presence_failed = False
 
+    @property
+    def has_sibling(self) -> bool:
+        """Whether the node had another process at the last check."""
+        return self._has_sibling
+
     def start_polling(self) -> None:
         """Starts to poll the state file, if this process does not poll it yet."""
         if not self._polling and self._file is not None:
--- a/rosewheel/proxy/siblings.py
+++ b/rosewheel/proxy/siblings.py
@@ -43,6 +43,8 @@
     def process_count_changed(self, processes: int) -> None:
         """Divides the node's descriptors, memory and pacing among its running processes."""
         resources, context = self._resources, self._context
+        if processes > 1:
+            context.request_id_sharing.start()
         resources.process_count = processes
         if processes == 1:
             resources.predecessor_descriptors = None
@@ -57,8 +59,13 @@
         self._context.shared_state.start_polling()
 
     def successor_connected(self) -> None:
-        """Handles the connection of a successor: the descriptors of an earlier predecessor no longer count."""
+        """Handles the connection of a successor, before it is answered.
+
+        The successor accepts clients only after that, so that it can't forward a copy of a request in this process.
+        The descriptors of an earlier predecessor no longer count.
+        """
         self._resources.predecessor_descriptors = None
+        self._context.request_id_sharing.start()
 
     def sibling_loads_changed(self, loads: Mapping[str, float]) -> None:
         """Applies the sibling's report of its requests in flight, by server."""
--- a/tests/hot_restart/test_hot_restart.py
+++ b/tests/hot_restart/test_hot_restart.py
@@ -90,6 +90,7 @@
     proxy.server.close()
     proxy.upstream.close()
     proxy.shared_state.close()
+    proxy.request_id_sharing.close()
     proxy.snapshots.close()
 
 
