Do not stream responses that SIGKILL would cut off; refuse late requests that take too long

What callers saw: after SIGTERM a node took requests on open connections and passed on their long answers, written at 64 kB a second, until SIGKILL cut them off.

Cause: the deadline of a request in a drain ends with the drain, but a response of more than 64 KiB is streamed, and from its first bytes no deadline ends it. Nothing refused a request whose response would take too long.

Change: policy/drain_admission.py holds the decisions of a drain. The response to a request that arrives later than 0.5 s after SIGTERM is buffered, up to 1 MiB and 1.5 s, and is sent whole or is an error. Such a request is refused before it is forwarded if responses of its class lately took longer than the drain lasts, or are declared as streamed. The end of a drain no longer discards bytes that a client has not read yet.

--- a/rosewheel/http/downstream_connection.py
+++ b/rosewheel/http/downstream_connection.py
@@ -163,6 +163,16 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def abort_if_sent(self, late_s: float) -> None:
+        """Close the connection unless its client is still being sent a response.
+
+        Args:
+            late_s: Time since the last response was due; a client that takes too long to read is disconnected.
+        """
+        unsent_bytes = self.transport.get_write_buffer_size() if self.transport is not None else 0
+        if not unsent_bytes or late_s > SEND_STALL_TIMEOUT_S:
+            self.abort()
+
     def pause_writing(self) -> None:
         """Apply backpressure: the transport's write buffer is full."""
         self.write_blocked = True
--- a/rosewheel/http/downstream_server.py
+++ b/rosewheel/http/downstream_server.py
@@ -133,6 +133,11 @@
             raise RuntimeError("the server was not started")
         return int(self._listener.sockets[0].getsockname()[1])
 
+    @property
+    def migrating(self) -> bool:
+        """True while connections are migrated to another process (hot restart)."""
+        return self.hot_restarting and not self.closing
+
     async def drain(
         self,
         max_request_timeout_s: float = 3.0,
@@ -173,12 +178,12 @@
             migrating = migrating and migrate is not None and migrate()
             self.closing = not migrating
             drained_s = self.loop.time() - self.drain_started_s
-            is_late = drained_s > max_request_timeout_s + DRAIN_RESPONSE_GRACE_S
+            late_s = drained_s - max_request_timeout_s - DRAIN_RESPONSE_GRACE_S
             for connection in list(self.connections):
                 if not migrating or connection.detach_declined:
                     connection.close_if_idle(new_connection_grace_s)
-                if is_late and connection.active_request is None:
-                    connection.abort()
+                if late_s > 0.0 and connection.active_request is None:
+                    connection.abort_if_sent(late_s)
             await asyncio.sleep(MIGRATION_POLL_INTERVAL_S if migrating else DRAIN_POLL_INTERVAL_S)
 
     def close(self) -> None:
--- a/rosewheel/http/request.py
+++ b/rosewheel/http/request.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from rosewheel.http.body import RequestBody
+from rosewheel.http.response_buffer import ResponseBuffer
 
 # Headers that may occur only once: with two values, parsers could disagree about the request (request smuggling).
 SINGLE_VALUE_HEADERS = frozenset(
@@ -82,6 +83,8 @@
             that, or is incomplete.
         timeout_ms: How long the client waits for the response, counted from the last byte of the request.
         head_bytes: Estimated memory of the head, as `HeadMemory` counts it; 0 once the head was dropped.
+        must_be_complete: The response must not be streamed; it has to be complete before the drain ends.
+        response_buffer: The long response that is being buffered, if any.
         response_started: A streamed response has begun.
         has_final_response: The node has decided on the final response.
     """
@@ -97,6 +100,8 @@
     completed_s: float | None = None
     timeout_ms: float = 0.0
     head_bytes: int = 0
+    must_be_complete: bool = False
+    response_buffer: ResponseBuffer | None = None
     response_started: bool = False
     has_final_response: bool = False
     _first_values: dict[bytes, bytes] | None = None  # by header name; built on first use
@@ -116,6 +121,12 @@
         """Free the headers. No further attempt can be sent."""
         self.headers, self._first_values, self.head_bytes = [], None, 0
 
+    def drop_response_buffer(self) -> None:
+        """Release the memory of the buffered response, if there is one."""
+        if self.response_buffer is not None:
+            self.response_buffer.release()
+            self.response_buffer = None
+
     @property
     def forwarded_length(self) -> int | None:
         """Size in bytes of the body as it is forwarded; None if it is forwarded in chunked encoding."""
--- a/rosewheel/http/request_reader.py
+++ b/rosewheel/http/request_reader.py
@@ -149,6 +149,7 @@
     def _release(self, request: DownstreamRequest) -> None:
         """Free the memory of a request that was answered or rejected, or whose client has disconnected."""
         request.body.release()
+        request.drop_response_buffer()
         self.server.request_ids.release(request)
         self._head_memory.remove(request.head_bytes)
         request.drop_head()
--- a/rosewheel/node/core.py
+++ b/rosewheel/node/core.py
@@ -23,7 +23,6 @@
 from rosewheel.node.timers import Timer, TimerKind, TimerQueue
 from rosewheel.policy.balancer import Balancer
 from rosewheel.policy.events import (
-    AttemptFinished,
     AttemptResult,
     ClientDisconnected,
     CordonChanged,
@@ -46,6 +45,7 @@
 
 log = logging.getLogger("rosewheel.node")
 
+TIMER_RESOLUTION_MS = 1.0
 RESPONSE_BACKSTOP_MS = 15.0  # time past its deadline after which a request is answered without the policy
 
 
@@ -124,16 +124,12 @@
     def attempts_in_flight(self, id: str) -> list[int]:
         """Return the numbers of the request's attempts that have no result yet."""
         request = self.requests.get(id)
-        attempts = request.attempts if request is not None else ()
-        return [number for number, attempt in enumerate(attempts) if attempt.result is None]
+        return request.attempts_in_flight() if request is not None else []
 
     def response_in_progress(self, id: str) -> ResponseInProgress | None:
         """Return the response that is being streamed to the request's client; None if there is none."""
         request = self._table.unfinished(id)
-        if request is None or request.streaming_attempt is None:
-            return None
-        number = request.streaming_attempt
-        return ResponseInProgress(request.class_name, request.attempts[number].server, number)
+        return request.response_in_progress() if request is not None else None
 
     def statistics_snapshot(self) -> StatisticsSnapshot:
         """Return a copy of the current statistics of this process."""
@@ -151,13 +147,8 @@
 
         It is the longest deadline of the service classes, or the time left to a request in flight if that is longer.
         """
-        remaining_ms = (
-            request.deadline_ms - now
-            for request in self.requests.values()
-            if not request.finished and request.complete
-        )
-        longest_ms = max(item.deadline_ms for item in self.settings.classes)
-        return max(longest_ms, max(remaining_ms, default=0.0))
+        deadlines_ms = (item.deadline_ms for item in self.settings.classes)
+        return max(*deadlines_ms, self._table.longest_remaining_ms(now))
 
     # Requests
 
@@ -230,14 +221,34 @@
             another response is being streamed.
         """
         request = self._table.unfinished(id)
-        if request is None or request.streaming_attempt is not None:
-            return None
-        if attempt >= len(request.attempts) or request.attempts[attempt].result is not None:
+        if request is None or not request.can_use_response(attempt):
             return None
         request.streaming_attempt = attempt
         request.attempts[attempt].response_started_ms = now
         return self._handle(now, ResponseStarted(id, attempt))
 
+    def response_buffered(self, now: float, id: str, attempt: int, limit_ms: float) -> bool:
+        """Give an attempt this time, up to the deadline: its long response is buffered, not streamed.
+
+        Returns:
+            False if the response can't be used; see `response_started`.
+        """
+        request = self._table.unfinished(id)
+        if request is None or not request.can_use_response(attempt):
+            return False
+        due_ms = min(request.deadline_ms, now + limit_ms)
+        request.attempts[attempt].timeout_ms = due_ms - request.attempts[attempt].sent_ms
+        self.timers.start(due_ms, TimerKind.ATTEMPT_TIMEOUT, id, attempt)
+        return True
+
+    def fail_request(self, now: float, id: str) -> list[NodeEffect]:
+        """Respond to a request without the policy, and abort its attempts; ignored if it has ended."""
+        request = self._table.unfinished(id)
+        if request is None:
+            return []
+        self._table.respond_without_policy(now, id, request)
+        return self._handle(now, ClientDisconnected(id))
+
     def attempt_finished(
         self,
         now: float,
@@ -256,17 +267,7 @@
 
         The policy of this process records the attempt as successful, because the server has done its work.
         """
-        request = self._table.unfinished(id)
-        if request is None or request.streaming_attempt is None:
-            return []
-        number = request.streaming_attempt
-        attempt = request.attempts[number]
-        attempt.result = AttemptResult.OK
-        latency_ms = attempt.latency_ms(now)
-        event = AttemptFinished(id, number, attempt.server, AttemptResult.OK, latency_ms, True)
-        self._table.events.append(event)
-        self._table.finish(id, request)
-        return self._handle(now)
+        return self._handle(now) if self._table.finish_migrated(now, id) else []
 
     def adopt_response(self, now: float, id: str, class_name: str, server: str) -> bool:
         """Take over a streamed response from another process, as attempt 0 of a request unknown to the policy.
@@ -378,8 +379,9 @@
 
     def _attempt_timed_out(self, now: float, id: str, attempt: int) -> list[NodeEffect]:
         request = self.requests.get(id)
-        if request is not None and request.streaming_attempt == attempt:
-            return []
+        is_streaming = request is not None and request.streaming_attempt == attempt
+        if is_streaming or self.rules.time_left_ms(now, id, attempt) > TIMER_RESOLUTION_MS:
+            return []  # a streamed response has no deadline, and a buffered one was given more time
         self._table.abort_attempt(now, id, attempt, AttemptResult.TIMEOUT)
         return self._handle(now)
 
@@ -389,8 +391,7 @@
         if request is None or request.streaming_attempt is not None:
             return []
         log.error("request failed: reason=no response from the policy by the deadline, request=%s", id)
-        self._table.respond_without_policy(now, id, request)
-        return self._handle(now, ClientDisconnected(id))
+        return self.fail_request(now, id)
 
     def _start_backstop(self, id: str, deadline_at_ms: float) -> None:
         due_ms = deadline_at_ms + RESPONSE_BACKSTOP_MS
--- a/rosewheel/node/in_flight.py
+++ b/rosewheel/node/in_flight.py
@@ -69,6 +69,23 @@
         """Return True if an attempt has no result yet."""
         return any(attempt.result is None for attempt in self.attempts)
 
+    def attempts_in_flight(self) -> list[int]:
+        """Return the numbers of the attempts that have no result yet."""
+        return [number for number, attempt in enumerate(self.attempts) if attempt.result is None]
+
+    def response_in_progress(self) -> ResponseInProgress | None:
+        """Return the response that is being streamed to the client; None if there is none."""
+        if self.streaming_attempt is None:
+            return None
+        server = self.attempts[self.streaming_attempt].server
+        return ResponseInProgress(self.class_name, server, self.streaming_attempt)
+
+    def can_use_response(self, number: int) -> bool:
+        """Return whether the response of this attempt can be used: it is in flight, and none is streamed."""
+        if self.streaming_attempt is not None:
+            return False
+        return number < len(self.attempts) and self.attempts[number].result is None
+
     def may_have_been_executed(self, before: int | None = None) -> bool:
         """Return True if a server may have executed the request, or may still execute it.
 
--- a/rosewheel/node/request_table.py
+++ b/rosewheel/node/request_table.py
@@ -108,6 +108,28 @@
         if not request.has_attempt_in_flight():
             del self.requests[id]
 
+    def finish_migrated(self, now: float, id: str) -> bool:
+        """Finish a request whose streamed response another process continues, and queue the event for the policy.
+
+        Returns:
+            False if no response is streamed; nothing changes then.
+        """
+        request = self.unfinished(id)
+        if request is None or request.streaming_attempt is None:
+            return False
+        number = request.streaming_attempt
+        attempt = request.attempts[number]
+        attempt.result = AttemptResult.OK
+        latency_ms = attempt.latency_ms(now)
+        self.events.append(AttemptFinished(id, number, attempt.server, AttemptResult.OK, latency_ms, True))
+        self.finish(id, request)
+        return True
+
+    def longest_remaining_ms(self, now: float) -> float:
+        """Return the longest time left to a complete request without a final response; 0 if there is none."""
+        waiting = (each for each in self.requests.values() if not each.finished and each.complete)
+        return max((request.deadline_ms - now for request in waiting), default=0.0)
+
     def respond_without_policy(self, now: float, id: str, request: InFlightRequest) -> None:
         """Send the final response of a request that the policy failed to answer, and abort its attempts.
 
--- a/rosewheel/proxy/proxy.py
+++ b/rosewheel/proxy/proxy.py
@@ -23,6 +23,7 @@
 from rosewheel.node.effects import NodeEffect
 from rosewheel.node.limits import Limits
 from rosewheel.node.statistics import StatisticsSnapshot
+from rosewheel.policy.drain_admission import MAX_DRAIN_DEADLINE_MS
 from rosewheel.policy.settings import Settings
 from rosewheel.policy.shared_state import is_large_fleet
 from rosewheel.proxy import clock
@@ -30,7 +31,7 @@
 from rosewheel.proxy.effects import EffectRunner
 from rosewheel.proxy.endpoints import EndpointUpdates
 from rosewheel.proxy.request_id_claims import RequestIdSharing
-from rosewheel.proxy.requests import MAX_DRAIN_DEADLINE_MS, RequestHandler
+from rosewheel.proxy.requests import RequestHandler
 from rosewheel.proxy.resources import Resources
 from rosewheel.proxy.shared_state import SharedState
 from rosewheel.proxy.siblings import Siblings
--- a/rosewheel/proxy/requests.py
+++ b/rosewheel/proxy/requests.py
@@ -8,9 +8,11 @@
 from rosewheel.http.errors import BadRequestError, RefusedRequestError
 from rosewheel.http.request import DownstreamRequest
 from rosewheel.http.request_ids import MAX_REQUEST_ID_LENGTH
+from rosewheel.http.response_buffer import MAX_BUFFERING_MS, ResponseBuffer
 from rosewheel.http.response_reader import ResponseSink
 from rosewheel.node.errors import DuplicateRequestError
 from rosewheel.node.statistics import RequestOutcome
+from rosewheel.policy.drain_admission import DrainAdmission
 from rosewheel.policy.events import AttemptResult, RequestReceived
 from rosewheel.proxy import clock
 from rosewheel.proxy.context import ProxyContext
@@ -18,12 +20,6 @@
 
 METHODS = (b"GET", b"POST")
 DUPLICATE_ID_MESSAGE = "this Request-Id is being served already"
-# A drain lasts as long as the longest request timeout so far, limited to MAX_DRAIN_DEADLINE_MS, plus DRAIN_MARGIN_MS.
-# A request that arrives during the drain has to finish by its end. It is rejected if that leaves less time than both
-# its own timeout and MIN_DRAIN_DEADLINE_MS, since an attempt would rarely finish.
-MAX_DRAIN_DEADLINE_MS = 3000.0
-DRAIN_MARGIN_MS = 500.0
-MIN_DRAIN_DEADLINE_MS = 1000.0
 # Subtracted from a client's timeout, for the network and for processing in the node.
 DEADLINE_MARGIN_MS = 5.0
 
@@ -33,7 +29,7 @@
 
     def __init__(self, context: ProxyContext) -> None:
         self._context = context
-        self._longest_deadline_ms = 0.0  # longest timeout of all requests received so far
+        self._drain_admission = DrainAdmission()
 
     def received(self, request: DownstreamRequest) -> None:
         """Handles a request whose head has been read.
@@ -48,6 +44,7 @@
             effects = self._context.node.receive_request(clock.now_ms(), event)
         except DuplicateRequestError as error:
             raise RefusedRequestError(409, DUPLICATE_ID_MESSAGE) from error
+        request.must_be_complete = self._must_be_complete()
         self._context.client_requests[event.id] = request
         self._context.apply(effects)
 
@@ -56,6 +53,7 @@
         context = self._context
         if context.client_requests.get(request.id) is request:
             now_ms = clock.now_ms()
+            request.must_be_complete = self._must_be_complete()
             deadline_at_ms = now_ms + self._time_for_response_ms(request.timeout_ms)
             context.apply(context.node.request_completed(now_ms, request.id, deadline_at_ms))
 
@@ -88,6 +86,8 @@
         """
         context = self._context
         request = context.client_requests.get(id)
+        if request is not None and request.must_be_complete:
+            return self._buffer_response(request, attempt, length)
         effects = context.node.response_started(clock.now_ms(), id, attempt) if request is not None else None
         if request is None or effects is None:
             return None
@@ -95,6 +95,32 @@
         context.apply(effects)
         return functools.partial(request.connection.send_response_data, request)
 
+    def _buffer_response(
+        self, request: DownstreamRequest, attempt: int, length: int | None
+    ) -> ResponseSink | None:
+        """Buffers a long response that has to be complete before the drain ends; returns its sink, if it is used.
+
+        If it is too long, the request fails at once: part of it could be cut off when the process is killed.
+        """
+        context = self._context
+        if request.response_buffer is not None:
+            return None
+        if not context.node.response_buffered(clock.now_ms(), request.id, attempt, MAX_BUFFERING_MS):
+            return None
+        buffer = ResponseBuffer(context.budget, attempt)
+        if not buffer.has_space(length or 0):
+            context.apply(context.node.fail_request(clock.now_ms(), request.id))
+            return None
+        request.response_buffer = buffer
+        return functools.partial(self._append_to_buffer, request.id, buffer)
+
+    def _append_to_buffer(self, id: str, buffer: ResponseBuffer, data: bytes) -> bool:
+        if buffer.has_space(len(data)):
+            buffer.append(data)
+        else:
+            self._context.apply(self._context.node.fail_request(clock.now_ms(), id))
+        return True
+
     def attempt_finished(
         self, id: str, attempt: int, result: AttemptResult, report: dict[str, float] | None, body: bytes
     ) -> None:
@@ -103,8 +129,27 @@
         request = context.client_requests.get(id)
         if request is not None and not request.body.replayable:
             context.node.request_body_discarded(id)
+        if request is not None and request.response_buffer is not None:
+            body = self._take_buffered_response(request, request.response_buffer, attempt, result) or body
+        if request is not None and result is AttemptResult.OK:
+            self._record_duration(request)
         context.apply(context.node.attempt_finished(clock.now_ms(), id, attempt, result, report, body))
 
+    def _take_buffered_response(
+        self, request: DownstreamRequest, buffer: ResponseBuffer, attempt: int, result: AttemptResult
+    ) -> bytes:
+        """Returns the buffered response of an attempt that has ended with it; empty for any other attempt or end."""
+        if buffer.attempt != attempt:
+            return b""
+        body = buffer.take() if result is AttemptResult.OK else b""
+        request.drop_response_buffer()
+        return body
+
+    def _record_duration(self, request: DownstreamRequest) -> None:
+        if request.completed_s is not None:
+            duration_ms = (self._context.loop.time() - request.completed_s) * 1000.0
+            self._drain_admission.response_completed(request.header(b"request-class") or "", duration_ms)
+
     def health_check_finished(
         self, server: str, result: AttemptResult, latency_ms: float, report: dict[str, float] | None
     ) -> None:
@@ -145,19 +190,32 @@
 
     def _check_time_left(self, class_name: str, timeout_ms: float) -> None:
         """Rejects a request that arrives during a drain with too little time left for its response."""
-        self._longest_deadline_ms = max(self._longest_deadline_ms, min(timeout_ms, MAX_DRAIN_DEADLINE_MS))
-        context = self._context
-        if context.server.draining and self._time_left_ms() < min(timeout_ms, MIN_DRAIN_DEADLINE_MS):
+        context, admission = self._context, self._drain_admission
+        admission.request_received(timeout_ms)
+        if not context.server.draining:
+            return
+        is_streaming = any(
+            each.streaming for each in context.node.settings.classes if each.name == class_name
+        )
+        if not admission.admits(self._drain_elapsed_ms(), class_name, timeout_ms, is_streaming):
             context.node.statistics.count_request(class_name, RequestOutcome.SHED)
             raise RefusedRequestError(503, "this node stops before the answer could be there")
 
     def _time_for_response_ms(self, timeout_ms: float) -> float:
         """Returns the time for a response, in milliseconds from the last byte of the request."""
         if self._context.server.draining:
-            timeout_ms = min(timeout_ms, self._time_left_ms())
+            timeout_ms = min(timeout_ms, self._drain_admission.time_left_ms(self._drain_elapsed_ms()))
         return max(1.0, timeout_ms - DEADLINE_MARGIN_MS)
 
-    def _time_left_ms(self) -> float:
-        """Returns how long the current drain still lasts, in milliseconds."""
-        until_start_s = self._context.server.drain_started_s - self._context.loop.time()  # negative
-        return until_start_s * 1000.0 + self._longest_deadline_ms + DRAIN_MARGIN_MS
+    def _must_be_complete(self) -> bool:
+        """Returns whether the response to a request that arrives now has to be complete before the drain ends.
+
+        While connections migrate to another process, it can continue a streamed response.
+        """
+        server = self._context.server
+        if not server.draining or server.migrating:
+            return False
+        return self._drain_admission.must_be_complete(self._drain_elapsed_ms())
+
+    def _drain_elapsed_ms(self) -> float:
+        return (self._context.loop.time() - self._context.server.drain_started_s) * 1000.0
