Drop what an attempt still receives after its buffered response was released

Cause: where the settings forbid to cancel attempts, one goes on after its request has ended, for example by the response of a hedge. Its bytes were appended to the released buffer and stayed counted in the memory budget of bodies.

Change: a released buffer drops further parts.

--- a/rosewheel/http/response_buffer.py
+++ b/rosewheel/http/response_buffer.py
@@ -14,19 +14,25 @@
 
     Attributes:
         attempt: Number of the attempt whose response it is.
+        released: The response is no longer needed, and further parts are dropped: its attempt may not be aborted.
     """
 
     def __init__(self, budget: BufferBudget, attempt: int) -> None:
         self.attempt = attempt
+        self.released = False
         self._budget = budget
         self._body = bytearray()
 
     def has_space(self, additional_bytes: int) -> bool:
         """Return whether the response may grow by this size."""
+        if self.released:
+            return True
         return not self._budget.exceeded and len(self._body) + additional_bytes <= MAX_BUFFERED_RESPONSE_BYTES
 
     def append(self, data: bytes) -> None:
-        """Append a part of the body."""
+        """Append a part of the body; it is dropped if the buffer was released."""
+        if self.released:
+            return
         self._body += data
         self._budget.used_bytes += len(data)
 
@@ -38,5 +44,6 @@
 
     def release(self) -> None:
         """Release the memory; a second call does nothing."""
+        self.released = True
         self._budget.used_bytes -= len(self._body)
         self._body = bytearray()
--- a/tests/proxy/test_long_responses_in_a_drain.py
+++ b/tests/proxy/test_long_responses_in_a_drain.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from rosewheel.http.response_buffer import MAX_BUFFERED_RESPONSE_BYTES
+from rosewheel.http.body import BufferBudget
+from rosewheel.http.response_buffer import MAX_BUFFERED_RESPONSE_BYTES, ResponseBuffer
 from rosewheel.http.response_reader import STREAM_THRESHOLD_BYTES
 from rosewheel.policy.drain_admission import DRAIN_MARGIN_MS, LATE_AFTER_MS, DrainAdmission
 from rosewheel.proxy.proxy import Proxy
@@ -105,6 +106,18 @@
     run(main())
 
 
+def test_released_buffer_drops_what_its_attempt_still_receives():
+    """Guards against memory that stays counted: the attempt of an ended request may go on, if none is cancelled."""
+    budget = BufferBudget(MAX_BUFFERED_RESPONSE_BYTES)
+    buffer = ResponseBuffer(budget, attempt=0)
+    buffer.append(b"abc")
+    buffer.release()
+    assert buffer.has_space(MAX_BUFFERED_RESPONSE_BYTES + 1)  # the ended request is not failed again
+    buffer.append(b"def")
+    buffer.release()
+    assert (buffer.take(), budget.used_bytes) == (b"", 0)
+
+
 def test_response_that_fails_while_buffered_may_be_retried():
     """Guards against the beginning of one response before that of another, and against a lost retry."""
 
