Use the response of a retry after a buffered one has timed out

Cause: the buffer of a late request in a drain stayed that of its first attempt after this one had timed out, so the long response of a retry was not used and the client was refused.

Change: a buffer whose attempt is no longer in flight is dropped when the next response starts. The tests' classes have an objective as long as the deadline, so that the policy retries.

--- a/rosewheel/proxy/requests.py
+++ b/rosewheel/proxy/requests.py
@@ -104,8 +104,10 @@
         If it is too long, the request fails at once: part of it could be cut off when the process is killed.
         """
         context = self._context
-        if request.response_buffer is not None:
+        buffered = request.response_buffer
+        if buffered is not None and buffered.attempt in context.node.attempts_in_flight(request.id):
             return None
+        request.drop_response_buffer()  # that of an attempt that has timed out
         if not context.node.response_buffered(clock.now_ms(), request.id, attempt, MAX_BUFFERING_MS):
             return None
         buffer = ResponseBuffer(context.budget, attempt)
--- a/tests/proxy/test_long_responses_in_a_drain.py
+++ b/tests/proxy/test_long_responses_in_a_drain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -14,6 +15,7 @@
 from rosewheel.http.response_reader import STREAM_THRESHOLD_BYTES
 from rosewheel.policy.drain_admission import DRAIN_MARGIN_MS, LATE_AFTER_MS, DrainAdmission
 from rosewheel.proxy.proxy import Proxy
+from tests.support.balancers import IDEMPOTENT, NON_IDEMPOTENT
 from tests.support.raw_messages import byte_pattern
 from tests.support.sockets import Client, FakeServer, Handler, Message, entry, node, run, status, until
 
@@ -44,7 +46,12 @@
 async def late_in_a_drain(*servers: FakeServer) -> AsyncIterator[tuple[Proxy, Client]]:
     """Run a node whose drain began some time ago, and a client on a connection that is still open."""
     entries = [entry(f"s{number}", server.port) for number, server in enumerate(servers)]
-    async with node(entries) as proxy, Client(proxy) as client:
+    # An objective as long as the deadline, so that the policy retries until then.
+    classes = tuple(
+        dataclasses.replace(each, latency_objective_ms=KILL_AFTER_MS, deadline_ms=KILL_AFTER_MS)
+        for each in (IDEMPOTENT, NON_IDEMPOTENT)
+    )
+    async with node(entries, classes=classes) as proxy, Client(proxy) as client:
         proxy.requests._drain_admission.request_received(KILL_AFTER_MS)
         await until(lambda: bool(proxy.server.connections))
         proxy.server.draining = True
@@ -145,6 +152,28 @@
     run(main())
 
 
+def test_response_that_times_out_while_buffered_may_be_retried():
+    """Guards against a retry whose response is not used, because the first one was never complete."""
+
+    async def main() -> None:
+        gate, received = asyncio.Event(), 0
+        gate.set()
+        slow, whole = sending(LONG_BYTES, asyncio.Event(), "length"), sending(LONG_BYTES, gate, "length")
+
+        async def first_is_slow(message: Message, writer: asyncio.StreamWriter) -> None:
+            nonlocal received
+            received += 1
+            await (whole if received > 1 else slow)(message, writer)
+
+        async with FakeServer(first_is_slow).up() as one, FakeServer(first_is_slow).up() as other:
+            async with late_in_a_drain(one, other) as (proxy, client):
+                response = await client.request("read", timeout=4000)
+                assert (status(response), response.body) == (200, byte_pattern(LONG_BYTES))
+                assert (received, proxy.budget.used_bytes) == (2, 0)
+
+    run(main())
+
+
 def test_unread_response_is_not_discarded_at_the_end_of_a_drain():
     """Guards against a response that is cut off because its client reads it more slowly than the drain lasts."""
 
