--- a/review/stand2/platform.py
+++ b/review/stand2/platform.py
@@ -186,7 +186,7 @@
 def reset(writer: asyncio.StreamWriter) -> None:
     """Reset a connection."""
     sock = writer.get_extra_info("socket")
-    if sock is not None:
+    if sock is not None and sock.fileno() >= 0:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
 
--- a/review/stand2/programs.py
+++ b/review/stand2/programs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import json
 import os
 import signal
@@ -157,9 +158,10 @@
         name: str,
         command: Sequence[str],
         environment: dict[str, str],
-        pass_fds: Sequence[int] = (),
+        listener: socket.socket | None = None,
     ) -> Program:
-        """Start a program of the project from the root of the repository."""
+        """Start a program of the project from the root of the repository; it gets the listener as descriptor 3."""
+        hand_over = None if listener is None else functools.partial(os.dup2, listener.fileno(), 3)
         log_path = self.folder / f"{name}-{len(self.programs)}.log"
         with log_path.open("w") as log:
             process = await asyncio.create_subprocess_exec(
@@ -169,7 +171,8 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                pass_fds=pass_fds,
+                preexec_fn=hand_over,
+                pass_fds=() if listener is None else (3,),
             )
         program = Program(process, log_path)
         self.programs.append(program)
@@ -185,6 +188,7 @@
         ops: int | None = None,
         known: dict[str, Any] | None = None,
         sockets: int = 1024,
+        memory_mb: int = 192,
     ) -> Path:
         """Write the configuration of a node as the deploy page shows it; return its path."""
         document = {
@@ -192,7 +196,7 @@
             "listen": f"127.0.0.1:{listen}",
             "discovery": f"127.0.0.1:{discovery}",
             "seed": os.urandom(8).hex(),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
             "known": known,
             "settings": settings,
         }
@@ -217,14 +221,9 @@
         environment = {"LB_CONFIG": str(config), "TMPDIR": str(folder)}
         if ops is not None:
             environment["LB_OPS"] = f"127.0.0.1:{ops}"
-        command = ["/bin/sh", "-c", DEPLOY["run"]]
-        if listener is None:
-            return await self.start(name, command, environment)
-        # The platform hands the listening socket over as descriptor 3.
-        environment["LB_INHERITED_FD"] = "3"
-        number = listener.fileno()
-        command = ["/bin/sh", "-c", f"exec 3<&{number}; {DEPLOY['run']}"]
-        return await self.start(name, command, environment, pass_fds=(number,))
+        if listener is not None:
+            environment["LB_INHERITED_FD"] = "3"
+        return await self.start(name, ["/bin/sh", "-c", DEPLOY["run"]], environment, listener)
 
     async def close(self) -> None:
         """End all processes that the case started, and remove its folder."""
