--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,79 +1,93 @@
-"""A bad client sends the same request again; usual clients wait at equipos that hang."""
+"""Bad clients send targets that can't be read; the node's memory grows past its limit."""
 
 from __future__ import annotations
 
 import asyncio
-import time
+from pathlib import Path
 
-from stand2.platform import Client, Discovery, Equipo, Received, answer, request_bytes, serve_at_once
-from stand2.programs import Stage, base_settings, free_port, wait_ready
+from stand2.platform import Answered, Client, Discovery, Equipo, request_bytes
+from stand2.programs import Program, Stage, base_settings, free_port, wait_ready
 from stand2.runner import NotRunError, run, trouble
 
-DEADLINE_MS = 3000
-LOST_AFTER_S = 0.55  # up to half a second after its time an answer only earns nothing; 50 ms more on sockets
-BAD_ID = "bad-1"
-CLIENTS = 6
+MEMORY_MB = 64
+BAD_CLIENTS = 4
+LONG_BODY_BYTES, SHORT_BODY_BYTES = 30_000, 3_300
+LONG_BODIES = 250  # of each bad client, before its short ones
+PLAY_S, LOOK_S = 40.0, 0.1
 
 
-async def play(stage: Stage) -> bool:
-    """Play the case; return whether a usual client's request was never answered."""
-    hung: set[str] = set()
+def resident_mb(program: Program) -> float:
+    """Return the memory of a process without its pages of files."""
+    for line in Path(f"/proc/{program.pid}/status").read_text().splitlines():
+        if line.startswith("RssAnon:"):
+            return int(line.split()[1]) / 1024.0
+    raise NotRunError("the system does not tell the memory of a process")
 
-    async def behave(equipo: Equipo, request: Received, writer: asyncio.StreamWriter) -> bool:
-        if equipo.name in hung:
-            stage.note(f"{equipo.name} hangs on {request.id}")
-            await asyncio.sleep(100.0)
-            return False
-        if request.id == BAD_ID:  # equipos turn away what they can't use
-            stage.note(f"{equipo.name} answers 500 to {request.id}")
-            writer.write(answer(500))
-            return True
-        stage.note(f"{equipo.name} runs {request.id}")
-        return await serve_at_once(equipo, request, writer)
 
+async def play(stage: Stage) -> bool:
+    """Play the case; return whether the node holds more memory than it may."""
     discovery = Discovery()
     await discovery.start()
     for number in range(4):
-        equipo = Equipo(f"e{number}", behave)
+        equipo = Equipo(f"e{number}")
         await equipo.start()
         discovery.set(equipo.name, equipo.port)
     port = free_port()
-    config = stage.write_config("n0", port, discovery.port, base_settings(), known=discovery.whole())
-    await stage.start_node("n0", config)
+    config = stage.write_config(
+        "n0", port, discovery.port, base_settings(), known=discovery.whole(), memory_mb=MEMORY_MB
+    )
+    node = await stage.start_node("n0", config)
     if not await wait_ready(port):
         raise NotRunError("the node is not ready")
-    await asyncio.sleep(1.0)
-
-    bad = Client(port)
-    bad_request = request_bytes("ver-album", BAD_ID, DEADLINE_MS)
-    if trouble():
-        turned_away = await bad.ask(bad_request, 5.0)
-        stage.note(f"bad client: {turned_away.status} {turned_away.end}; sends the same again")
-    hung.update(("e0", "e1"))  # from now on a half of the equipos hang
+    over = asyncio.Event()
+    tasks = [asyncio.create_task(_ask_usual(stage, port, number, over)) for number in range(4)]
+    await asyncio.sleep(2.0)
+    stage.note(f"memory before: {resident_mb(node):.1f} MB of {MEMORY_MB}")
     if trouble():
-        if bad.writer is None:
-            await bad.connect()
-        assert bad.writer is not None
-        bad.writer.write(bad_request)
-    return await _ask_at_once(stage, port)
+        tasks += [asyncio.create_task(_ask_bad(stage, port, number, over)) for number in range(BAD_CLIENTS)]
+    peak_mb, started_s = 0.0, stage.now()
+    while stage.now() - started_s < PLAY_S and peak_mb <= MEMORY_MB:
+        await asyncio.sleep(LOOK_S)
+        if not node.running:
+            raise NotRunError("the node has ended")
+        peak_mb = max(peak_mb, resident_mb(node))
+    stage.note(f"memory at most: {peak_mb:.1f} MB of {MEMORY_MB}")
+    over.set()
+    await asyncio.gather(*tasks)
+    return peak_mb > MEMORY_MB
 
 
-async def _ask_at_once(stage: Stage, port: int) -> bool:
-    """Have usual clients send a request each; return whether one that waits at a hung equipo is never answered."""
-    await asyncio.sleep(0.3)
-    waits = await asyncio.gather(*(_ask(stage, port, f"good-{number}") for number in range(CLIENTS)))
-    if max(waits) < 1.0:
-        raise NotRunError("no request of the usual clients met a hung equipo")
-    return max(waits) > DEADLINE_MS / 1000.0 + LOST_AFTER_S
+async def _ask_usual(stage: Stage, port: int, number: int, over: asyncio.Event) -> None:
+    """Send a request each 0.2 s, as a usual client."""
+    client, count = Client(port), 0
+    while not over.is_set():
+        count += 1
+        id = f"good-{number}-{count}"
+        try:
+            found = await client.ask(request_bytes("subir-foto", id, 3000, b"x" * 100), 8.0)
+        except OSError as error:
+            found = Answered(None, end=repr(error))
+            client.close()
+        stage.note(f"{id}: {found.status} {found.end}")
+        await asyncio.sleep(0.2)
 
 
-async def _ask(stage: Stage, port: int, id: str) -> float:
-    stage.note(f"sent {id}: subir-foto, {DEADLINE_MS} ms")
-    sent_s = time.monotonic()
-    found = await Client(port).ask(request_bytes("subir-foto", id, DEADLINE_MS, b"x"), 8.0)
-    took_s = time.monotonic() - sent_s
-    stage.note(f"{id}: {found.status} {found.end} after {took_s:.3f} s")
-    return took_s
+async def _ask_bad(stage: Stage, port: int, number: int, over: asyncio.Event) -> None:
+    """Send requests whose target can't be read, each at once after the end of the one before."""
+    count = 0
+    while not over.is_set():
+        count += 1
+        size = LONG_BODY_BYTES if count <= LONG_BODIES else SHORT_BODY_BYTES
+        request = request_bytes("comentario", f"bad-{number}-{count}", 3000, bytes(size), key=f"k{count}")
+        client = Client(port)
+        try:
+            found = await client.ask(request.replace(b" /api ", b" http://[/api "), 5.0)
+            if count % 500 == 1:
+                stage.note(f"bad client {number}, request {count}: {found.status} {found.end}")
+        except OSError:
+            await asyncio.sleep(0.05)
+        finally:
+            client.close()
 
 
 run(__file__, play)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,26 +1,33 @@
-"""A bad client sends a deadline of 400 digits; then a usual client sends two requests at once."""
+"""A bad client sends the same request again; usual clients wait at equipos that hang."""
 
 from __future__ import annotations
 
 import asyncio
 import time
 
-from stand2.platform import Client, Discovery, Equipo, Received, request_bytes, serve_at_once
+from stand2.platform import Client, Discovery, Equipo, Received, answer, request_bytes, serve_at_once
 from stand2.programs import Stage, base_settings, free_port, wait_ready
 from stand2.runner import NotRunError, run, trouble
 
-SLOW_MS, SHORT_MS = 2900, 500
+DEADLINE_MS = 3000
 LOST_AFTER_S = 0.55  # up to half a second after its time an answer only earns nothing; 50 ms more on sockets
+BAD_ID = "bad-1"
+CLIENTS = 6
 
 
 async def play(stage: Stage) -> bool:
-    """Play the case; return whether a usual client's request got its answer too late."""
+    """Play the case; return whether a usual client's request was never answered."""
+    hung: set[str] = set()
 
     async def behave(equipo: Equipo, request: Received, writer: asyncio.StreamWriter) -> bool:
-        if request.id.endswith("hangs"):
+        if equipo.name in hung:
             stage.note(f"{equipo.name} hangs on {request.id}")
             await asyncio.sleep(100.0)
             return False
+        if request.id == BAD_ID:  # equipos turn away what they can't use
+            stage.note(f"{equipo.name} answers 500 to {request.id}")
+            writer.write(answer(500))
+            return True
         stage.note(f"{equipo.name} runs {request.id}")
         return await serve_at_once(equipo, request, writer)
 
@@ -38,30 +45,35 @@
     await asyncio.sleep(1.0)
 
     bad = Client(port)
-    await bad.connect()
-    assert bad.writer is not None
+    bad_request = request_bytes("ver-album", BAD_ID, DEADLINE_MS)
     if trouble():
-        stage.note("bad client: a request, and right behind it one with a deadline of 400 digits")
-        bad.writer.write(
-            request_bytes("subir-foto", "bad-hangs", 3000)
-            + request_bytes("subir-foto", "bad-2", int("9" * 400))
-        )
+        turned_away = await bad.ask(bad_request, 5.0)
+        stage.note(f"bad client: {turned_away.status} {turned_away.end}; sends the same again")
+    hung.update(("e0", "e1"))  # from now on a half of the equipos hang
+    if trouble():
+        if bad.writer is None:
+            await bad.connect()
+        assert bad.writer is not None
+        bad.writer.write(bad_request)
+    return await _ask_at_once(stage, port)
+
+
+async def _ask_at_once(stage: Stage, port: int) -> bool:
+    """Have usual clients send a request each; return whether one that waits at a hung equipo is never answered."""
     await asyncio.sleep(0.3)
+    waits = await asyncio.gather(*(_ask(stage, port, f"good-{number}") for number in range(CLIENTS)))
+    if max(waits) < 1.0:
+        raise NotRunError("no request of the usual clients met a hung equipo")
+    return max(waits) > DEADLINE_MS / 1000.0 + LOST_AFTER_S
+
 
-    client = Client(port)
-    await client.connect()
-    assert client.writer is not None
-    stage.note(f"sent at once: good-hangs ({SLOW_MS} ms), good-2 ({SHORT_MS} ms)")
+async def _ask(stage: Stage, port: int, id: str) -> float:
+    stage.note(f"sent {id}: subir-foto, {DEADLINE_MS} ms")
     sent_s = time.monotonic()
-    client.writer.write(
-        request_bytes("subir-foto", "good-hangs", SLOW_MS) + request_bytes("ver-album", "good-2", SHORT_MS)
-    )
-    took_s = 0.0
-    for id in ("good-hangs", "good-2"):
-        found = await client.take(8.0)
-        took_s = time.monotonic() - sent_s
-        stage.note(f"{id}: {found.status} {found.end} {took_s:.3f} s after it was sent")
-    return took_s > SHORT_MS / 1000.0 + LOST_AFTER_S
+    found = await Client(port).ask(request_bytes("subir-foto", id, DEADLINE_MS, b"x"), 8.0)
+    took_s = time.monotonic() - sent_s
+    stage.note(f"{id}: {found.status} {found.end} after {took_s:.3f} s")
+    return took_s
 
 
 run(__file__, play)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,23 +1,23 @@
-"""A crowd stops in the middle of its requests; usual clients that send several requests at once get no answer."""
+"""Bad clients fill the node's account of memory; usual clients' requests are closed without an answer."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 
-from stand2.platform import Client, Discovery, Equipo, request_bytes
+from stand2.platform import Answered, Client, Discovery, Equipo, request_bytes
 from stand2.programs import Stage, base_settings, free_port, wait_ready
 from stand2.runner import NotRunError, run, trouble
 
-MEMORY_MB = 32
-CROWD = 300
-UPLOAD_BYTES, PIECE_BYTES, PIECE_S = 2_000_000, 32 * 1024, 0.1
-USUAL_CLIENTS, TURNS, AT_ONCE, BODY_BYTES = 2, 15, 12, 1500
-DEADLINE_MS = 3000
+MEMORY_MB = 64
+BAD_CLIENTS = 4
+LONG_BODY_BYTES, SHORT_BODY_BYTES = 30_000, 3_300
+LONG_BODIES = 250  # of each bad client, before its short ones
+USUAL_CLIENTS, BODY_BYTES = 4, 6000
+PLAY_S = 30.0
 
 
 async def play(stage: Stage) -> bool:
-    """Play the case; return whether a usual client's request was never answered."""
+    """Play the case; return whether a usual client's request was closed without an answer, and again when resent."""
     discovery = Discovery()
     await discovery.start()
     for number in range(4):
@@ -31,89 +31,63 @@
     await stage.start_node("n0", config)
     if not await wait_ready(port):
         raise NotRunError("the node is not ready")
-    await asyncio.sleep(1.0)
     over = asyncio.Event()
-    crowd: list[asyncio.Task[None]] = []
+    usual = [asyncio.create_task(_ask_usual(stage, port, number, over)) for number in range(USUAL_CLIENTS)]
+    bad: list[asyncio.Task[None]] = []
     if trouble():
-        stage.note(f"{CROWD} clients come")
-        crowd = [asyncio.create_task(_join_crowd(port, number, over)) for number in range(CROWD)]
-    await asyncio.sleep(1.0)
-    lost = await asyncio.gather(*(_ask_usual(stage, port, number) for number in range(USUAL_CLIENTS)))
+        bad = [asyncio.create_task(_ask_bad(port, number, over)) for number in range(BAD_CLIENTS)]
+    started_s = stage.now()
+    while stage.now() - started_s < PLAY_S and not over.is_set():
+        await asyncio.sleep(0.1)
     over.set()
-    await asyncio.gather(*crowd)
-    stage.note(f"lost: {sum(lost)} of {USUAL_CLIENTS * TURNS * AT_ONCE}")
-    return sum(lost) > 0
+    await asyncio.gather(*bad)
+    lost = sum(await asyncio.gather(*usual))
+    stage.note(f"requests without an answer: {lost}")
+    return lost > 0
 
 
-async def _join_crowd(port: int, number: int, over: asyncio.Event) -> None:
-    """Stop half way in an upload, upload slowly, send a head without end or say nothing; come again when ended."""
-    count = 0
+async def _ask_usual(stage: Stage, port: int, number: int, over: asyncio.Event) -> int:
+    """Send one request after another on one connection; return how many were closed without an answer twice.
+
+    A close may cross a request on a resting connection, so the client sends it once more on a new one.
+    """
+    client, lost, count = Client(port), 0, 0
     while not over.is_set():
         count += 1
-        with contextlib.suppress(OSError, RuntimeError):
-            await _stay(port, number, count, over)
-        await asyncio.sleep(0.2)
-
-
-async def _stay(port: int, number: int, count: int, over: asyncio.Event) -> None:
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    upload = request_bytes("comentario", f"crowd-{number}-{count}", 3000, key=f"k{number}-{count}")
-    upload = upload.replace(b"Content-Length: 0", b"Content-Length: %d" % UPLOAD_BYTES)
-    kind = number % 4
-    if kind == 0:
-        writer.write(upload + bytes(UPLOAD_BYTES // 2))
-    elif kind == 1:
-        writer.write(upload)
-        for _ in range(0, UPLOAD_BYTES, PIECE_BYTES):
-            if writer.is_closing() or reader.at_eof() or over.is_set():
+        id = f"good-{number}-{count}"
+        request = request_bytes("subir-foto", id, 3000, b"x" * BODY_BYTES)
+        found = Answered(None)
+        for attempt in ("first", "again, on a new connection"):
+            try:
+                found = await client.ask(request, 8.0)
+            except OSError as error:
+                found = Answered(None, end=f"closed without an answer: {type(error).__name__}")
+                client.close()
+            stage.note(f"{id} {attempt}: {found.status} {found.end}")
+            if found.status is not None:
                 break
-            writer.write(bytes(PIECE_BYTES))
-            await asyncio.sleep(PIECE_S)
-    elif kind == 2:
-        writer.write(b"GET /api HTTP/1.1\r\nHost: a\r\n" + b"a:b\r\n" * 3000)
-    while not over.is_set() and not reader.at_eof():
-        try:
-            await asyncio.wait_for(reader.read(1024), 0.5)
-        except TimeoutError:
-            continue
-    writer.close()
-
-
-async def _ask_usual(stage: Stage, port: int, number: int) -> int:
-    """Send requests at once on a connection, again and again; return how many are never answered.
-
-    A close may cross a request that was not read, so the client sends those without an answer once more.
-    """
-    lost = 0
-    for turn in range(TURNS):
-        unanswered = [f"good-{number}-{turn}-{place}" for place in range(AT_ONCE)]
-        for attempt in ("first", "again"):
-            unanswered = await _send_at_once(stage, port, unanswered, attempt)
-        lost += len(unanswered)
-        await asyncio.sleep(0.2)
+        else:
+            lost += 1
+            over.set()
+        await asyncio.sleep(0.1)
+    client.close()
     return lost
 
 
-async def _send_at_once(stage: Stage, port: int, ids: list[str], attempt: str) -> list[str]:
-    """Send requests at once on a new connection; return those that were not answered when it was closed."""
-    if not ids:
-        return []
-    client, statuses = Client(port), []
-    try:
-        await client.connect()
-        assert client.writer is not None
-        bodies = (request_bytes("subir-foto", id, DEADLINE_MS, b"x" * BODY_BYTES) for id in ids)
-        client.writer.write(b"".join(bodies))
-        while len(statuses) < len(ids) and client.writer is not None:
-            found = await client.take(DEADLINE_MS / 1000.0 + 1.0)
-            if found.status is None:
-                break
-            statuses.append(found.status)
-    except OSError as error:
-        stage.note(f"{ids[0]}: {error!r}")
-    client.close()
-    stage.note(f"{ids[0]} to {ids[-1]} {attempt}: {statuses}, {len(ids) - len(statuses)} not answered")
-    return ids[len(statuses) :]
+async def _ask_bad(port: int, number: int, over: asyncio.Event) -> None:
+    """Send requests whose target can't be read, each at once after the end of the one before."""
+    count = 0
+    while not over.is_set():
+        count += 1
+        size = LONG_BODY_BYTES if count <= LONG_BODIES else SHORT_BODY_BYTES
+        request = request_bytes("comentario", f"bad-{number}-{count}", 3000, bytes(size), key=f"k{count}")
+        client = Client(port)
+        try:
+            await client.ask(request.replace(b" /api ", b" http://[/api "), 5.0)
+        except OSError:
+            await asyncio.sleep(0.05)
+        finally:
+            client.close()
 
 
 run(__file__, play)
