--- a/rosewheel/http/downstream_connection.py
+++ b/rosewheel/http/downstream_connection.py
@@ -115,16 +115,14 @@
         self._drop_incomplete_head()
         self._pending_rejection = None
         self.queued_bytes = 0
-        for queued in self.queued_requests:
-            self._release(queued)
         self.queued_requests.clear()
-        if self.incoming_request is not None:
-            self._release(self.incoming_request)
-            self.incoming_request = None
+        self.incoming_request = None
         active, self.active_request = self.active_request, None
-        if active is not None:
-            self.server.client_disconnected(active)
-            self._release(active)
+        try:
+            if active is not None:
+                self.server.client_disconnected(active)
+        finally:
+            self._held.release_all()
 
     def eof_received(self) -> None:
         """Drop the client's requests: a client that closes its sending side is treated as disconnected.
@@ -265,6 +263,7 @@
         request = DownstreamRequest(
             self, b"GET", b"/", [], body, 0, id, dispatched=True, response_started=True
         )
+        self._held.add(request)
         self.active_request, self._on_writable = request, on_writable
         self._write_progress.restart(self.server.loop.time())
         return request
@@ -329,19 +328,34 @@
                 self._send_rejection(self._pending_rejection)
 
     def _dispatch(self, request: DownstreamRequest) -> None:
+        """Answer a request, or have the server process it; whatever fails, it gets a response and is released."""
         request.dispatched = True
+        try:
+            self._process(request)
+        except BadRequestError as error:
+            self._reject_active(request, error)
+        except Exception:
+            log.exception("request failed")
+            self._fail(request)
+
+    def _process(self, request: DownstreamRequest) -> None:
+        """Answer a request, or have the server process it.
+
+        Raises:
+            BadRequestError: The request is not valid.
+        """
         if origin_form(request.target)[0].partition(b"?")[0] == b"/_health":
             # During a hot restart the node stays healthy, whichever of its processes receives the health check.
             is_healthy = self.server.is_healthy() and (self.server.hot_restarting or not self.server.draining)
             self._send_response(200 if is_healthy else 503, b"")
-            self._release(request)
+            self._held.release(request)
             return
         if self.over_limit:
             self._send_response(503, b"")  # rejected without consulting the policy
-            self._release(request)
+            self._held.release(request)
             return
         if self.transport is None or self.transport.is_closing() or self.close_if_disconnected():
-            self._release(request)
+            self._held.release(request)
             return
         if self.server.memory.is_exhausted and request is self.incoming_request:
             self._reject(MemoryExhaustedError())
@@ -350,13 +364,14 @@
         self.last_activity_s = self.server.loop.time()
         if request.completed_s is None:
             request.completed_s = self._earliest_end_s(request)
-        try:
-            self.server.request_received(request)
-        except BadRequestError as error:
-            self._reject_active(request, error)
-        except Exception:
-            log.exception("request failed")
-            self.respond(request, 500, b"")
+        self.server.request_received(request)
+
+    def _fail(self, request: DownstreamRequest) -> None:
+        """Respond with status 500 to a request that an unexpected error has ended, unless it has its response."""
+        if request.body.released:
+            return
+        self.active_request = request
+        self.respond(request, 500, b"")
 
     def _reject_active(self, request: DownstreamRequest, error: BadRequestError) -> None:
         """Respond with an error to a request whose framing is valid, and close the connection.
@@ -365,7 +380,7 @@
         `RefusedRequestError`, requests that were read already are served first.
         """
         self.active_request = None
-        self._release(request)
+        self._held.release(request)
         has_unread_body = self.incoming_request is request
         if isinstance(error, RefusedRequestError) and not has_unread_body:
             self.server.record_rejection(error)
--- a/rosewheel/http/downstream_detach.py
+++ b/rosewheel/http/downstream_detach.py
@@ -186,8 +186,6 @@
         self.transport = None
         self._unsent.count(0)
         active, self.active_request = self.active_request, None
-        if active is not None:
-            self._release(active)
         state = DownstreamState(
             is_http_1_0=self.is_http_1_0,
             close_after_response=self.close_after_response,
@@ -197,9 +195,8 @@
             unsent_bytes=unsent_bytes,
         )
         received = self._encode_incomplete_request()
-        if self.incoming_request is not None:
-            self._release(self.incoming_request)
-            self.incoming_request = None
+        self.incoming_request = None
+        self._held.release_all()
         self._drop_incomplete_head()
         del self.parser
         pending_bytes = self._unsent_writes.tail(unsent_bytes) + received
--- a/rosewheel/http/request.py
+++ b/rosewheel/http/request.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from rosewheel.http.body import RequestBody
+from rosewheel.http.errors import BadRequestError
 from rosewheel.http.response_buffer import ResponseBuffer
 
 # Headers that may occur only once: with two values, parsers could disagree about the request (request smuggling).
@@ -177,12 +178,18 @@
     """Return a request target in origin form, and its authority if it is in absolute form.
 
     Servers must accept both forms (RFC 9112, section 3.2.2).
+
+    Raises:
+        BadRequestError: The target begins like an absolute form, and can't be read as one.
     """
     if target[:7].lower() != b"http://":
         return target, None
     # Imported here, since it is rarely needed and would slow down the start of the process.
     from urllib.parse import urlsplit
 
-    parts = urlsplit(target.decode("latin-1"))
+    try:
+        parts = urlsplit(target.decode("latin-1"))
+    except ValueError as error:
+        raise BadRequestError(400, "the request target can't be read") from error
     path = (parts.path or "/") + (f"?{parts.query}" if "?" in target.decode("latin-1") else "")
     return path.encode("latin-1"), parts.netloc.rpartition("@")[2].encode("latin-1")
--- a/rosewheel/http/request_reader.py
+++ b/rosewheel/http/request_reader.py
@@ -12,6 +12,7 @@
 from rosewheel.http.body import RequestBody
 from rosewheel.http.errors import BadRequestError, HeadMemoryError
 from rosewheel.http.head_memory import HeadMemory
+from rosewheel.http.held_requests import HeldRequests
 from rosewheel.http.input_clock import InputClock
 from rosewheel.http.partial_request import PartialRequest
 from rosewheel.http.reading import MAX_READ_BYTES, SMALL_READ_BYTES, BoundedReads
@@ -98,6 +99,7 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self._partial = PartialRequest()
         self._head_memory = HeadMemory(server.memory.heads)
+        self._held = HeldRequests(server.request_ids, self._head_memory)
         self._messages_begun = self._messages_ended = 0  # within the last bytes passed to the parser
 
     @property
@@ -142,14 +144,6 @@
         """Count time that the last bytes took; stop reading if this connection has taken too much."""
         raise NotImplementedError
 
-    def _release(self, request: DownstreamRequest) -> None:
-        """Free the memory of a request that was answered or rejected, or whose client has disconnected."""
-        request.body.release()
-        request.drop_response_buffer()
-        self.server.request_ids.release(request)
-        self._head_memory.remove(request.head_bytes)
-        request.drop_head()
-
     def _drop_incomplete_head(self) -> None:
         """Free the memory of the head that is being received; it will not be parsed further."""
         self.target, self.headers = b"", []
@@ -344,6 +338,7 @@
         self.expects_continue = asks_to_continue and content_length != 0 and version == "1.1"
         body = RequestBody(self.server.memory.bodies, self._update_backpressure)
         self.incoming_request = request = self._create_request(method, body, content_length)
+        self._held.add(request)
         self._head_memory.set_incomplete(0, 0)
         request.head_bytes = self._head_memory.add(size, len(self.headers))
         self.target, self.headers = b"", []
--- a/rosewheel/http/response_sender.py
+++ b/rosewheel/http/response_sender.py
@@ -122,7 +122,7 @@
             return
         self.active_request = None
         self.last_activity_s = self.server.loop.time()
-        self._release(request)
+        self._held.release(request)
         self._send_response(status, body, retry_after_ms)
         self._continue_after_response()
 
@@ -167,7 +167,7 @@
             return
         self.active_request, self._on_writable = None, None
         self.last_activity_s = self.server.loop.time()
-        self._release(request)
+        self._held.release(request)
         if self.response_chunked:
             self._send(b"0\r\n\r\n")
         if self.close_after_response and not self._has_more_requests():
@@ -181,7 +181,7 @@
             return
         self.active_request, self._on_writable = None, None
         self.server.record_close("streamed response interrupted", request)
-        self._release(request)
+        self._held.release(request)
         connection_close.reset(self.transport)
 
     def _close_when_request_complete(self) -> None:
@@ -209,7 +209,7 @@
             self._reject_dispatched(incoming, error)
             return
         if incoming is not None:
-            self._release(incoming)
+            self._held.release(incoming)
             self.incoming_request = None
         if self.active_request is None and not self.queued_requests:
             self._send_rejection(error)
