--- a/benchmarks/timers.py
+++ b/benchmarks/timers.py
@@ -36,9 +36,11 @@
         self._is_timer_needed = is_needed
         self.slots: dict[int, list[Timer]] = {}
 
-    def start(self, due_ms: float, kind: TimerKind, subject: str, attempt: int = 0) -> None:
+    def start(
+        self, due_ms: float, kind: TimerKind, subject: str, attempt: int = 0, request_number: int = 0
+    ) -> None:
         slot = self.slots.setdefault(int(due_ms / SLOT_MS), [])
-        slot.append(Timer(due_ms, 0, kind, subject, attempt))
+        slot.append(Timer(due_ms, 0, kind, subject, attempt, request_number))
 
     def advance(self, now: float) -> None:
         for slot in [slot for slot in self.slots if (slot + 1) * SLOT_MS <= now]:
@@ -52,7 +54,9 @@
 
     __slots__ = ()
 
-    def start(self, due_ms: float, kind: TimerKind, subject: str, attempt: int = 0) -> None:
+    def start(
+        self, due_ms: float, kind: TimerKind, subject: str, attempt: int = 0, request_number: int = 0
+    ) -> None:
         pass
 
 
--- a/rosewheel/hot_restart/service.py
+++ b/rosewheel/hot_restart/service.py
@@ -275,12 +275,12 @@
         if not channels:
             self._host.sibling_loads_changed({})
             return
+        self._report_timer = self._loop.call_later(IN_FLIGHT_INTERVAL_S, self._report_in_flight)
         report = InFlight(_highest_loads(self._host.loads_in_flight, MAX_REPORTED_SERVERS))
         negotiated = [channel for channel in channels if channel in self._negotiated]
         for channel in negotiated:
             channel.send(report)
         self._report_ended(negotiated, MAX_ID_MESSAGES_PER_REPORT)
-        self._report_timer = self._loop.call_later(IN_FLIGHT_INTERVAL_S, self._report_in_flight)
 
     def _report_ended(self, channels: list[Channel], max_messages: int) -> None:
         """Send the ids of requests that have ended; an id sent to one process only is known to both then."""
--- a/rosewheel/http/downstream_connection.py
+++ b/rosewheel/http/downstream_connection.py
@@ -167,6 +167,14 @@
         self.server.mark_partial(self, has_only_partial_head)
 
     def _dispatch_next(self) -> None:
+        """Dispatch the next requests; an error that belongs to none of them ends this connection."""
+        try:
+            self._parse_and_dispatch()
+        except Exception:
+            self.server.monitor.record_error("dispatch")
+            self.abort()
+
+    def _parse_and_dispatch(self) -> None:
         if self.unparsed:
             self._parse_unparsed()
             self._mark_partial_head()
@@ -205,7 +213,7 @@
         except BadRequestError as error:
             self._reject_active(request, error)
         except Exception:
-            log.exception("request failed")
+            self.server.monitor.record_error("request")
             self.respond(request, 500, b"")
 
     def _process(self, request: DownstreamRequest) -> None:
--- a/rosewheel/http/downstream_server.py
+++ b/rosewheel/http/downstream_server.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from rosewheel.http.downstream_connection import DownstreamConnection
 from rosewheel.http.errors import BadRequestError
@@ -190,13 +191,16 @@
             late_s = drained_s - max_request_timeout_s - DRAIN_RESPONSE_GRACE_S
             if late_s > 0.0:
                 on_time_over()
-            for connection in list(self.connections):
-                if not migrating or connection.detach_declined:
-                    connection.close_if_idle(NEW_CONNECTION_GRACE_S)
-                if late_s > 0.0 and connection.active_request is None:
-                    connection.abort_if_sent(late_s)
+            drain = functools.partial(self._drain_connection, migrating=migrating, late_s=late_s)
+            self._for_each("drain of connections", self.connections, drain)
             await asyncio.sleep(MIGRATION_POLL_INTERVAL_S if migrating else DRAIN_POLL_INTERVAL_S)
 
+    def _drain_connection(self, connection: DownstreamConnection, migrating: bool, late_s: float) -> None:
+        if not migrating or connection.detach_declined:
+            connection.close_if_idle(NEW_CONNECTION_GRACE_S)
+        if late_s > 0.0 and connection.active_request is None:
+            connection.abort_if_sent(late_s)
+
     def close(self) -> None:
         """Close the listener and abort all connections."""
         if self._listener is not None:
@@ -205,8 +209,7 @@
             self._sweep_timer.cancel()
         if self._paused_check_timer is not None:
             self._paused_check_timer.cancel()
-        for connection in list(self.connections):
-            connection.abort()
+        self._for_each("close of connections", self.connections, lambda each: each.abort())
 
     def _sweep(self) -> None:
         self._sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
@@ -215,23 +218,47 @@
             self.rejected_count = 0
         self.monitor.events.flush()
         now_s = self.loop.time()
-        for connection in list(self.connections):
-            connection.count_unsent()
-            connection.check_upload_deadline(now_s)
-            connection.check_queued_deadlines(now_s)
-            connection.close_if_stalled(now_s)
+        self._for_each("sweep of connections", self.connections, lambda each: self._check(each, now_s))
+
+    def _for_each(
+        self,
+        step: str,
+        connections: Iterable[DownstreamConnection],
+        action: Callable[[DownstreamConnection], None],
+    ) -> None:
+        """Take a step for each connection; an error in one is counted, and costs no other one its turn.
+
+        Args:
+            step: Name of the step, for the log.
+            connections: The connections, which the step may change.
+            action: The step.
+        """
+        for connection in list(connections):
+            try:
+                action(connection)
+            except Exception:
+                self.monitor.record_error(step)
+
+    def _check(self, connection: DownstreamConnection, now_s: float) -> None:
+        connection.count_unsent()
+        connection.check_upload_deadline(now_s)
+        connection.check_queued_deadlines(now_s)
+        connection.close_if_stalled(now_s)
 
     def _check_paused_connections(self) -> None:
         now_s = self.loop.time()
-        for connection in list(self._paused_connections):
-            connection.check_upload_deadline(now_s)
-            connection.update_backpressure()
-            if not connection.reading_paused or connection.close_if_disconnected():
-                self._paused_connections.pop(connection, None)
+        paused = self._paused_connections
+        self._for_each("check of paused connections", paused, lambda each: self._check_paused(each, now_s))
         self._paused_check_timer = None
         if self._paused_connections:
             self._start_paused_check()
 
+    def _check_paused(self, connection: DownstreamConnection, now_s: float) -> None:
+        connection.check_upload_deadline(now_s)
+        connection.update_backpressure()
+        if not connection.reading_paused or connection.close_if_disconnected():
+            self._paused_connections.pop(connection, None)
+
     def shed(self) -> None:
         """Reject incomplete requests while too much memory is held, those without progress for longest first.
 
@@ -241,13 +268,15 @@
         if excess_bytes <= 0:
             return
         incomplete = [connection for connection in self.connections if connection.held_incomplete_bytes]
-        for connection in sorted(incomplete, key=lambda each: each.last_received_s):
-            if excess_bytes <= 0:
-                return
+
+        def reject(connection: DownstreamConnection) -> None:
+            nonlocal excess_bytes
             held_bytes = connection.held_incomplete_bytes
-            if connection.reject_for_memory():
+            if excess_bytes > 0 and connection.reject_for_memory():
                 excess_bytes -= held_bytes
 
+        self._for_each("shedding", sorted(incomplete, key=lambda each: each.last_received_s), reject)
+
     def _start_paused_check(self) -> None:
         self._paused_check_timer = self.loop.call_later(
             PAUSED_CHECK_INTERVAL_S, self._check_paused_connections
--- a/rosewheel/http/upstream_pool.py
+++ b/rosewheel/http/upstream_pool.py
@@ -312,8 +312,11 @@
             )
             self.invalid_response_count = 0
         for exchange in list(self.exchanges.values()):
-            if exchange.connection is not None and not exchange.request_sent:
-                exchange.connection.fail_if_write_stalled()
+            try:
+                if exchange.connection is not None and not exchange.request_sent:
+                    exchange.connection.fail_if_write_stalled()
+            except Exception:  # an error in one attempt must not affect the others
+                self.monitor.record_error("sweep of attempts")
         self.idle_timeout.relax(self.loop.time())
         self.close_expired_idle(self.loop.time())
 
--- a/rosewheel/node/core.py
+++ b/rosewheel/node/core.py
@@ -167,7 +167,7 @@
         )
         self._table.add(request.id, entry)
         if request.complete:
-            self._start_backstop(request.id, request.deadline_at_ms)
+            self._start_backstop(request.id, entry)
         return self._handle(now, request)
 
     def request_completed(self, now: float, id: str, deadline_at_ms: float) -> list[NodeEffect]:
@@ -176,12 +176,12 @@
         if request is None or request.complete:
             return []
         request.complete, request.deadline_ms = True, deadline_at_ms
-        self._start_backstop(id, deadline_at_ms)
+        self._start_backstop(id, request)
         for number, attempt in enumerate(request.attempts):
             if attempt.result is None:
                 attempt.sent_ms = now
                 due_ms = now + min(attempt.timeout_ms, deadline_at_ms - now)
-                self.timers.start(due_ms, TimerKind.ATTEMPT_TIMEOUT, id, number)
+                self.timers.start(due_ms, TimerKind.ATTEMPT_TIMEOUT, id, number, request.number)
         return self._handle(now, RequestCompleted(id, deadline_at_ms))
 
     def request_overdue(self, now: float, id: str) -> list[NodeEffect]:
@@ -234,7 +234,7 @@
             return False
         due_ms = min(request.deadline_ms, now + limit_ms)
         request.attempts[attempt].timeout_ms = due_ms - request.attempts[attempt].sent_ms
-        self.timers.start(due_ms, TimerKind.ATTEMPT_TIMEOUT, id, attempt)
+        self.timers.start(due_ms, TimerKind.ATTEMPT_TIMEOUT, id, attempt, request.number)
         return True
 
     def fail_request(self, now: float, id: str) -> list[NodeEffect]:
@@ -358,10 +358,14 @@
         return self.driver.timers.next_due_ms
 
     def tick(self, now: float) -> list[NodeEffect]:
-        """Fire all timers that are due, and return their effects."""
+        """Fire all timers that are due, and return their effects; an error in one does not affect the others."""
         effects: list[NodeEffect] = []
         while (timer := self.timers.pop_due(now)) is not None:
-            effects += self._fire(now, timer)
+            try:
+                effects += self._fire(now, timer)
+            except Exception:
+                self.rules.monitor.record_error(f"timer: {timer.kind.value}")
+                effects += self._table.take_effects()
         return effects
 
     def _fire(self, now: float, timer: Timer) -> list[NodeEffect]:
@@ -369,26 +373,28 @@
             case TimerKind.POLICY:
                 return self._handle(now, TimerFired(timer.subject))
             case TimerKind.ATTEMPT_TIMEOUT:
-                return self._attempt_timed_out(now, timer.subject, timer.attempt)
+                return self._attempt_timed_out(now, timer)
             case TimerKind.RESPONSE_BACKSTOP:
-                return self._respond_after_deadline(now, timer.subject)
-
-    def _attempt_timed_out(self, now: float, id: str, attempt: int) -> list[NodeEffect]:
-        request = self.requests.get(id)
-        is_streaming = request is not None and request.streaming_attempt == attempt
-        if is_streaming or self.rules.time_left_ms(now, id, attempt) > TIMER_RESOLUTION_MS:
-            return []  # a streamed response has no deadline, and a buffered one was given more time
+                return self._respond_after_deadline(now, timer)
+
+    def _attempt_timed_out(self, now: float, timer: Timer) -> list[NodeEffect]:
+        request, id, attempt = self._table.owner(timer), timer.subject, timer.attempt
+        if request is None or request.streaming_attempt == attempt:
+            return []  # a streamed response has no deadline
+        if self.rules.time_left_ms(now, id, attempt) > TIMER_RESOLUTION_MS:
+            return []  # a buffered response was given more time
         self._table.abort_attempt(now, id, attempt, AttemptResult.TIMEOUT)
         return self._handle(now)
 
-    def _respond_after_deadline(self, now: float, id: str) -> list[NodeEffect]:
+    def _respond_after_deadline(self, now: float, timer: Timer) -> list[NodeEffect]:
         """Respond to a request that the policy left without a response past its deadline."""
-        request = self._table.unfinished(id)
-        if request is None or request.streaming_attempt is not None:
+        request, id = self._table.owner(timer), timer.subject
+        if request is None or request.finished or request.streaming_attempt is not None:
             return []
         log.error("request failed: reason=no response from the policy by the deadline, request=%s", id)
         return self.fail_request(now, id)
 
-    def _start_backstop(self, id: str, deadline_at_ms: float) -> None:
-        due_ms = deadline_at_ms + RESPONSE_BACKSTOP_MS
-        self.driver.timers.start(due_ms, TimerKind.RESPONSE_BACKSTOP, id)
+    def _start_backstop(self, id: str, request: InFlightRequest) -> None:
+        due_ms = request.deadline_ms + RESPONSE_BACKSTOP_MS
+        kind, number = TimerKind.RESPONSE_BACKSTOP, request.number
+        self.driver.timers.start(due_ms, kind, id, request_number=number)
--- a/rosewheel/node/event_log.py
+++ b/rosewheel/node/event_log.py
@@ -21,6 +21,7 @@
     ATTEMPT_NOT_OK = "attempts not ok"
     RETRY = "retries"
     CONNECTION_CLOSED = "client connections closed"
+    ERROR = "unexpected errors"
     RESPONSE_FORWARDED = "responses forwarded before their length was known"
 
 
@@ -33,8 +34,8 @@
         self._counts: dict[tuple[EventKind, str], int] = {}
         self._subjects: dict[tuple[EventKind, str], str] = {}  # of the last event
 
-    def record(self, kind: EventKind, reason: str, subject: str) -> None:
-        """Count an event.
+    def record(self, kind: EventKind, reason: str, subject: str) -> int:
+        """Count an event; return how many of its kind and reason there were since the last flush.
 
         Args:
             kind: What has happened.
@@ -42,8 +43,9 @@
             subject: The request, attempt or connection.
         """
         key = kind, reason
-        self._counts[key] = self._counts.get(key, 0) + 1
+        count = self._counts[key] = self._counts.get(key, 0) + 1
         self._subjects[key] = subject
+        return count
 
     def flush(self) -> None:
         """Write a line for each kind and reason, and start anew."""
--- a/rosewheel/node/in_flight.py
+++ b/rosewheel/node/in_flight.py
@@ -53,6 +53,7 @@
         idempotency: Whether it may be executed twice, by the settings when it was received.
         dedup_window_ms: How long servers remember its idempotency key.
         class_deadline_ms: Deadline of its class, by the settings when it was received.
+        number: Distinguishes it from other requests with the same id; set by `RequestTable.add`.
     """
 
     class_name: str
@@ -67,6 +68,7 @@
     idempotency: Idempotency = Idempotency.NON_IDEMPOTENT
     dedup_window_ms: float = 0.0
     class_deadline_ms: float = math.inf
+    number: int = 0
 
     def has_attempt_in_flight(self) -> bool:
         """Return True if an attempt has no result yet."""
--- a/rosewheel/node/policy_driver.py
+++ b/rosewheel/node/policy_driver.py
@@ -82,7 +82,7 @@
                 for action in self._balancer.handle(now, event):
                     self._apply_action(now, action)
             except Exception:
-                log.exception("policy failed: event=%s", type(event).__name__)
+                self._rules.monitor.record_error(f"policy: {type(event).__name__}")
                 self._recover_from_failure(now, event)
         return self._table.take_effects()
 
@@ -152,14 +152,15 @@
             self._table.record_result(now, action.id, number, AttemptResult.NOT_SENT)
             return
         if request.complete:
-            self.timers.start(now + timeout_ms, TimerKind.ATTEMPT_TIMEOUT, action.id, number)
+            due_ms = now + timeout_ms
+            self.timers.start(due_ms, TimerKind.ATTEMPT_TIMEOUT, action.id, number, request.number)
         self._table.effects.append(StartAttempt(action.id, number, action.server, timeout_ms))
 
     def is_timer_needed(self, timer: Timer) -> bool:
         """Return True if the timer would still have an effect when it fires."""
         if timer.kind is TimerKind.POLICY:
             return True
-        request = self._table.requests.get(timer.subject)
+        request = self._table.owner(timer)
         if request is None or request.streaming_attempt is not None:
             return False
         if timer.kind is TimerKind.RESPONSE_BACKSTOP:
--- a/rosewheel/node/request_table.py
+++ b/rosewheel/node/request_table.py
@@ -8,6 +8,7 @@
 from rosewheel.node.event_log import EventKind, EventLog
 from rosewheel.node.in_flight import InFlightRequest
 from rosewheel.node.statistics import RequestOutcome, Statistics
+from rosewheel.node.timers import Timer
 from rosewheel.policy.events import AttemptFinished, AttemptResult, Event
 
 LoadReport = dict[str, float]
@@ -28,18 +29,21 @@
         effects: Effects that `take_effects` has not returned yet, in order.
     """
 
-    __slots__ = ("_log", "_statistics", "active", "effects", "events", "requests")
+    __slots__ = ("_added", "_log", "_statistics", "active", "effects", "events", "requests")
 
     def __init__(self, statistics: Statistics, event_log: EventLog) -> None:
         self._log = event_log
         self.requests: dict[str, InFlightRequest] = {}
         self.active = 0
+        self._added = 0
         self.events: deque[Event] = deque()
         self.effects: list[NodeEffect] = []
         self._statistics = statistics
 
     def add(self, id: str, request: InFlightRequest) -> None:
-        """Add a new request; its id must not be in use."""
+        """Add a new request, and number it; its id must not be in use."""
+        self._added += 1
+        request.number = self._added
         self.requests[id] = request
         self.active += 1
 
@@ -48,6 +52,11 @@
         request = self.requests.get(id)
         return None if request is None or request.finished else request
 
+    def owner(self, timer: Timer) -> InFlightRequest | None:
+        """Return the request that a timer belongs to; None if it has ended, even if its id is in flight again."""
+        request = self.requests.get(timer.subject)
+        return None if request is None or request.number != timer.request_number else request
+
     def take_effects(self) -> list[NodeEffect]:
         """Return the effects since the last call, in order, and clear them."""
         effects, self.effects = self.effects, []
--- a/rosewheel/node/rule_monitor.py
+++ b/rosewheel/node/rule_monitor.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 import logging
+import sys
 from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum, IntEnum, auto
 
-from rosewheel.node.event_log import EventLog
+from rosewheel.node.event_log import EventKind, EventLog
 
 log = logging.getLogger("rosewheel.rules")
 
@@ -59,6 +60,7 @@
     NO_SECOND_EXECUTION = "another attempt of a request that may have been executed"
     NO_SEND_TO_DRAINING_SERVER = "an attempt to a server that drains or was removed"
     DEADLINE_TOLD_IN_TIME = "a deadline in the request head later than the client's"
+    NO_UNEXPECTED_ERROR = "an unexpected error in a step of one request, connection or timer"
 
 
 @dataclass(slots=True, frozen=True)
@@ -117,6 +119,20 @@
                 span_ms,
             )
 
+    def record_error(self, step: str, error: BaseException | None = None) -> None:
+        """Count an unexpected error as a violation.
+
+        The first of a step since the last flush of `events` is logged with its traceback.
+
+        Args:
+            step: What has failed, one of a closed set of names; the other requests and connections go on.
+            error: The error; None for the exception that is being handled.
+        """
+        error = error or sys.exception()
+        if self.events.record(EventKind.ERROR, step, type(error).__name__) == 1:
+            log.error("unexpected error: step=%s", step, exc_info=error)
+        self.record_violation(Rule.NO_UNEXPECTED_ERROR, step)
+
     def snapshot(self) -> RuleCounts:
         """Return a copy of the current counts."""
         verdicts = {operation.name.lower(): dict(self._reasons(operation)) for operation in CheckedOperation}
--- a/rosewheel/node/rules.py
+++ b/rosewheel/node/rules.py
@@ -90,12 +90,14 @@
         return request.idempotency is not Idempotency.NON_IDEMPOTENT
 
     def time_left_ms(self, now: float, id: str, attempt: int) -> float:
-        """Return the time left to an attempt; 0 or less if it has timed out or already has a result.
+        """Return the time left to an attempt; 0 or less if it has timed out, already has a result or is unknown.
 
         The full timeout is left while the request is incomplete.
         """
         request = self._table.requests.get(id)
-        if request is None or request.attempts[attempt].result is not None:
+        if request is None or attempt >= len(request.attempts):
+            return 0.0
+        if request.attempts[attempt].result is not None:
             return 0.0
         timeout_ms = request.attempts[attempt].timeout_ms
         if not request.complete:
--- a/rosewheel/node/timers.py
+++ b/rosewheel/node/timers.py
@@ -28,6 +28,7 @@
         kind: Its purpose.
         subject: Name of the timer if its kind is `POLICY`; otherwise the id of a request.
         attempt: Number of the attempt if its kind is `ATTEMPT_TIMEOUT`; otherwise 0.
+        request_number: Number of the request that it belongs to: an id may come again. 0 if its kind is `POLICY`.
     """
 
     due_ms: float
@@ -35,6 +36,7 @@
     kind: TimerKind
     subject: str
     attempt: int
+    request_number: int
 
 
 # Creates a Timer from a tuple of its fields. Calling the class takes twice as long, and each request starts two timers.
@@ -67,10 +69,13 @@
         """Due time of the next timer; None without timers."""
         return self._heap[0][0] if self._heap else None
 
-    def start(self, due_ms: float, kind: TimerKind, subject: str, attempt: int = 0) -> None:
+    def start(
+        self, due_ms: float, kind: TimerKind, subject: str, attempt: int = 0, request_number: int = 0
+    ) -> None:
         """Start a timer; see `Timer` for the arguments."""
         self._order += 1
-        heapq.heappush(self._heap, _timer_from_fields((due_ms, self._order, kind, subject, attempt)))
+        fields = due_ms, self._order, kind, subject, attempt, request_number
+        heapq.heappush(self._heap, _timer_from_fields(fields))
         if len(self._heap) > self._prune_size:
             self._prune()
 
--- a/rosewheel/proxy/effects.py
+++ b/rosewheel/proxy/effects.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import math
 from collections.abc import Callable
 
@@ -24,8 +23,6 @@
 from rosewheel.proxy import clock
 from rosewheel.proxy.context import ProxyContext
 
-log = logging.getLogger("rosewheel.proxy")
-
 # Delay of an attempt while its client may have disconnected unseen; longer than all that it has written is on its way.
 DEFERRAL_S = ARRIVAL_DELAY_S + 0.01
 
@@ -57,7 +54,7 @@
             try:
                 self._execute(effect)
             except Exception:  # an error in one request must not affect the others
-                log.exception("effect failed: type=%s", type(effect).__name__)
+                self._context.node.rules.monitor.record_error(f"effect: {type(effect).__name__}")
         self._start_timer()
 
     def close(self) -> None:
@@ -88,7 +85,7 @@
             if is_deferred:
                 self._end_unsent(effect, AttemptResult.NOT_SENT)
             else:  # what the client has written, and its disconnect, arrive meanwhile
-                self._context.loop.call_later(DEFERRAL_S, self._start_deferred, effect)
+                self._context.loop.call_later(DEFERRAL_S, self._start_deferred, effect, request)
             return
         id, attempt, length = effect.id, effect.attempt, request.forwarded_length
         request.may_have_effect = request.has_effect
@@ -113,7 +110,9 @@
             id, attempt, effect.server, encode_head, request.body, length is None, checks
         )
 
-    def _start_deferred(self, effect: StartAttempt) -> None:
+    def _start_deferred(self, effect: StartAttempt, request: DownstreamRequest) -> None:
+        if self._context.client_requests.get(effect.id) not in (request, None):
+            return  # the request has ended, and its id has come again
         if self._context.node.rules.time_left_ms(clock.now_ms(), effect.id, effect.attempt) > 0.0:
             self._start_attempt(effect, is_deferred=True)
 
@@ -160,4 +159,7 @@
 
     def _timer_fired(self) -> None:
         self._timer = None
-        self.apply(self._context.node.tick(clock.now_ms()))
+        try:
+            self.apply(self._context.node.tick(clock.now_ms()))
+        finally:
+            self._start_timer()
--- a/rosewheel/proxy/process.py
+++ b/rosewheel/proxy/process.py
@@ -3,18 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import gc
 import logging
 import signal
 import sys
 import time
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 import uvloop
 
 from rosewheel.config.errors import ConfigError
 from rosewheel.config.node_config import NodeConfig
+from rosewheel.node.rule_monitor import RuleMonitor
 from rosewheel.proxy.memory_watch import MemoryWatch
 from rosewheel.proxy.proxy import Proxy
 
@@ -69,6 +71,7 @@
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, stop.set)
     proxy = Proxy(config)
+    loop.set_exception_handler(functools.partial(_callback_failed, proxy.node.rules.monitor))
     fleet = _fleet_configuration(proxy, config)
     loop.add_signal_handler(signal.SIGHUP, _reload, fleet or proxy, load)
     if fleet is not None:
@@ -86,6 +89,15 @@
     memory_watch.close()
 
 
+def _callback_failed(monitor: RuleMonitor, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """Counts an unexpected error that has left a callback of the event loop; errors of the system are logged only."""
+    error = context.get("exception")
+    if error is None or isinstance(error, OSError):
+        loop.default_exception_handler(context)
+    else:
+        monitor.record_error("event loop", error)
+
+
 def _fleet_configuration(proxy: Proxy, config: NodeConfig) -> FleetConfiguration | None:
     """Returns the node's subscription to the fleet's configuration, or None if its file has no table `control`.
 
--- a/rosewheel/proxy/request_id_claims.py
+++ b/rosewheel/proxy/request_id_claims.py
@@ -130,12 +130,12 @@
         if self._claims is None:
             self.start()
             return
+        self._timer = asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self._sweep)
         for id in list(self._claims.claimed):
             if not self._request_ids.is_in_use(id):
                 self._claims.release(id)
         # Again, since the previous process may have held the id of a response that was migrated to this one.
         self._request_ids.share(self._claims, self._forwarded())
-        self._timer = asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self._sweep)
 
     def close(self) -> None:
         """Ends all claims."""
--- a/rosewheel/proxy/snapshots.py
+++ b/rosewheel/proxy/snapshots.py
@@ -124,8 +124,10 @@
 
     def _write_scheduled(self) -> None:
         if not self._on_disk or self._path is None:
-            self.write()
-            self._schedule()
+            try:
+                self.write()
+            finally:
+                self._schedule()
             return
         started_s, loop = time.perf_counter(), asyncio.get_running_loop()
 
