--- a/rosewheel/http/request.py
+++ b/rosewheel/http/request.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -21,6 +22,7 @@
         b"idempotency-key",
     )
 )
+WHOLE_NUMBER = re.compile("[0-9]{1,7}")  # as milliseconds up to 2.8 h, longer than the deadline of any class
 # Headers that apply to one connection only (RFC 9110, section 7.6.1) or that the node generates.
 NOT_FORWARDED_HEADERS = frozenset(
     (
@@ -119,7 +121,7 @@
     def is_overdue(self, now_s: float) -> bool:
         """Return whether the time that the client waits is over, by its own header; also before dispatch."""
         timeout = self.header(b"request-timeout-ms") or ""
-        if self.completed_s is None or not timeout.isascii() or not timeout.isdigit():
+        if self.completed_s is None or not WHOLE_NUMBER.fullmatch(timeout):
             return False
         return now_s - self.completed_s >= int(timeout) / 1000.0
 
--- a/rosewheel/proxy/headers.py
+++ b/rosewheel/proxy/headers.py
@@ -6,7 +6,6 @@
 
 from rosewheel.http.errors import BadRequestError
 
-WHOLE_NUMBER = re.compile("[0-9]{1,7}")  # as milliseconds up to 2.8 h, longer than the deadline of any class
 DECIMAL_NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
--- a/rosewheel/proxy/requests.py
+++ b/rosewheel/proxy/requests.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from rosewheel.http.errors import BadRequestError, RefusedRequestError
-from rosewheel.http.request import DownstreamRequest
+from rosewheel.http.request import WHOLE_NUMBER, DownstreamRequest
 from rosewheel.http.request_ids import MAX_REQUEST_ID_LENGTH
 from rosewheel.http.response_buffer import MAX_BUFFERING_MS, ResponseBuffer
 from rosewheel.http.response_reader import ResponseSink
@@ -17,7 +17,7 @@
 from rosewheel.policy.events import AttemptResult, RequestReceived
 from rosewheel.proxy import clock
 from rosewheel.proxy.context import ProxyContext
-from rosewheel.proxy.headers import DECIMAL_NUMBER, WHOLE_NUMBER, parse_number
+from rosewheel.proxy.headers import DECIMAL_NUMBER, parse_number
 
 METHODS = (b"GET", b"POST")
 DUPLICATE_ID_MESSAGE = "this Request-Id is being served already"
--- a/tests/http/test_pipelining.py
+++ b/tests/http/test_pipelining.py
@@ -13,6 +13,7 @@
     Message,
     encode_response,
     entry,
+    never_respond,
     node,
     run,
     status,
@@ -20,7 +21,7 @@
 )
 
 
-def encode_request(id: str, service: str = "read", timeout: int = 10_000, body: bytes = b"") -> bytes:
+def encode_request(id: str, service: str = "read", timeout: int | str = 10_000, body: bytes = b"") -> bytes:
     """Encode a request."""
     method = "GET" if service == "read" else "POST"
     head = f"{method} /{id} HTTP/1.1\r\nRequest-Id: {id}\r\nRequest-Class: {service}\r\n"
@@ -76,6 +77,26 @@
     run(main())
 
 
+@pytest.mark.parametrize("digits", [1, 7, 8, 309, 400, 5000])
+def test_a_queued_deadline_of_any_length_leaves_the_sweep_going(digits: int):
+    """Guards against a deadline too long for a number, which stops the sweep of all connections (review case 10)."""
+
+    async def main() -> None:
+        async with FakeServer(never_respond).up() as server, node([entry("one", server.port)]) as proxy:
+            async with Client(proxy) as bad, Client(proxy) as client:
+                bad.writer.write(encode_request("hangs-1", timeout=30_000))
+                bad.writer.write(encode_request("long", timeout="9" * digits))
+                await until(lambda: bool(server.requests))
+                client.writer.write(
+                    encode_request("hangs-2", timeout=30_000) + encode_request("short", timeout=200)
+                )
+                assert status(await client.read_response()) == 500  # gives way to the one behind it
+                assert status(await client.read_response()) >= 500
+                assert not proxy.server.monitor.violations
+
+    run(main())
+
+
 MALFORMED = {
     "not HTTP": (b"\x00\x01\r\n\r\n", 400),
     "too long": (b"GET /" + b"x" * 20_000 + b" HTTP/1.1\r\n", 431),
