--- a/rosewheel/control/codec/calls.py
+++ b/rosewheel/control/codec/calls.py
@@ -42,6 +42,8 @@
         "seen": encode_epoch(heartbeat.highest_epoch_seen),
         "at": encode_revision(heartbeat.last),
     }
+    if heartbeat.digest:
+        row["digest"] = heartbeat.digest
     if heartbeat.node_statuses is not None:
         row["whole"] = heartbeat.includes_all_nodes
         row["nodes"] = [encode_node_status(status) for status in heartbeat.node_statuses]
@@ -61,17 +63,21 @@
             last=decode_revision(row["at"]),
             node_statuses=tuple(decode_node_status(value) for value in row.get("nodes", ())),
             includes_all_nodes=bool(row.get("whole")),
+            digest=str(row.get("digest", "")),
         )
 
 
 def encode_machine_state(state: MachineState) -> JsonObject:
     """Encode the response to a heartbeat."""
-    return {
+    row: JsonObject = {
         "machine": state.machine,
         "boot": state.process_id,
         "seen": encode_epoch(state.highest_epoch_seen),
         "at": encode_revision(state.last),
     }
+    if state.digest:
+        row["digest"] = state.digest
+    return row
 
 
 def encode_fence_response(state: MachineState) -> JsonObject:
@@ -92,6 +98,7 @@
             highest_epoch_seen=decode_epoch(row["seen"]),
             last=decode_revision(row["at"]),
             is_fenced=bool(row.get("fenced")),
+            digest=str(row.get("digest", "")),
         )
 
 
--- a/rosewheel/control/errors.py
+++ b/rosewheel/control/errors.py
@@ -152,6 +152,21 @@
         self.machine, self.peers = machine, tuple(peers)
 
 
+class LeaderReturningError(WriteUnavailableError):
+    """A machine that led before its restart does not lead again yet: its folder may be an old copy.
+
+    Attributes:
+        peers: The peers that have not reported since the restart, or have later revisions.
+    """
+
+    def __init__(self, machine: str, peers: Sequence[str]) -> None:
+        waits = (
+            f"; not compared yet with: {', '.join(peers)} (promote a machine if one is lost)" if peers else ""
+        )
+        super().__init__(f"{machine} led before its restart and begins a new epoch{waits}")
+        self.peers = tuple(peers)
+
+
 # Replication.
 
 
--- a/rosewheel/control/heartbeats.py
+++ b/rosewheel/control/heartbeats.py
@@ -31,6 +31,9 @@
     def take_node_statuses(self, all_nodes: bool) -> list[NodeStatus]:
         """Return the node statuses that changed since the last call, or those of all nodes that watch this machine."""
 
+    def peer_reported(self) -> None:
+        """Handle the report of a peer on its last revision."""
+
     def peer_lost(self, peer: str) -> None:
         """Handle a peer that had no contact for `PEER_LOST_AFTER_S`."""
 
@@ -119,12 +122,14 @@
             raise PeerRejectedCallError(self.peer, status, decode_error(body).text)
         state = decode_machine_state(body)
         self._record_process(state, carried_statuses=heartbeat.node_statuses is not None)
-        await self.peer_reported(state.highest_epoch_seen, state.last)
+        await self.peer_reported(state.highest_epoch_seen, state.last, state.digest)
 
     def _heartbeat(self) -> Heartbeat:
         replica = self._owner.store.replica
         if replica.highest_epoch_seen.leader != self.peer:
-            return Heartbeat(self._owner.name, replica.highest_epoch_seen, replica.last)
+            return Heartbeat(
+                self._owner.name, replica.highest_epoch_seen, replica.last, digest=replica.last_digest
+            )
         all_nodes = not self._informed_process_id
         return Heartbeat(
             self._owner.name,
@@ -132,6 +137,7 @@
             replica.last,
             node_statuses=tuple(self._owner.take_node_statuses(all_nodes)),
             includes_all_nodes=all_nodes,
+            digest=replica.last_digest,
         )
 
     def _record_process(self, state: MachineState, carried_statuses: bool) -> None:
@@ -141,13 +147,19 @@
         else:
             self._informed_process_id = state.process_id if carried_statuses else ""
 
-    async def peer_reported(self, highest_epoch_seen: Epoch, last: Revision) -> None:
+    async def peer_reported(self, highest_epoch_seen: Epoch, last: Revision, digest: str) -> None:
         """Process the peer's state, from its response to a heartbeat or from a heartbeat of its own.
 
+        Args:
+            highest_epoch_seen: Highest epoch that the peer has seen.
+            last: Last revision on the peer's disk.
+            digest: The peer's digest of it; empty if it sends none.
+
         Raises:
             OSError: A higher epoch could not be written to the log.
         """
         self.last_contact_s = self._loop.time()
         self.last_revision = last
         await self._owner.store.observe_epoch(max(highest_epoch_seen, last.epoch))
-        self._owner.store.peer_acknowledged(self.peer, last)
+        self._owner.store.peer_acknowledged(self.peer, last, digest)
+        self._owner.peer_reported()
--- a/rosewheel/control/machine.py
+++ b/rosewheel/control/machine.py
@@ -15,7 +15,9 @@
 from rosewheel.control.machine_settings import MachineSettings
 from rosewheel.control.messages import NodeStatus
 from rosewheel.control.node_registry import NodeRegistry
+from rosewheel.control.promotion import Promotion
 from rosewheel.control.replication_watch import ReplicationWatch
+from rosewheel.control.resumption import Resumption
 from rosewheel.control.store import Store
 from rosewheel.control.watches import WatchPublisher
 
@@ -61,7 +63,10 @@
         self.heartbeats: dict[str, PeerHeartbeat] = {}
         self.replication: ReplicationWatch | None = None
         parts = MachineParts(settings, self.store, self.nodes, self.watches, self.heartbeats, self._loop)
-        self._api = MachineApi(parts, process_id=os.urandom(PROCESS_ID_BYTES).hex())
+        promotion = Promotion(parts)
+        self._resumption = Resumption(self.store.replica, promotion)
+        process_id = os.urandom(PROCESS_ID_BYTES).hex()
+        self._api = MachineApi(parts, process_id, promotion, self._resumption)
         self._listener: asyncio.Server | None = None
         self._maintenance_timer: asyncio.TimerHandle | None = None
 
@@ -110,16 +115,18 @@
             self.replication.close()
         for heartbeat in self.heartbeats.values():
             heartbeat.close()
+        self._resumption.close()
         self.watches.close()
         self._api.close()
         await self.store.close()
 
     def _run_maintenance(self) -> None:
-        """Remove expired nodes and reselect the replication source; runs periodically."""
+        """Remove expired nodes, reselect the replication source and resume leadership; runs periodically."""
         self._maintenance_timer = self._loop.call_later(MAINTENANCE_INTERVAL_S, self._run_maintenance)
         now_s = self._loop.time()
         if now_s // EXPIRY_INTERVAL_S != (now_s - MAINTENANCE_INTERVAL_S) // EXPIRY_INTERVAL_S:
             self.nodes.expire(now_s)
+        self._resumption.reconcile()
         if self.replication is not None:
             self.replication.reconcile()
 
@@ -139,6 +146,12 @@
         changed = self.nodes.take_changes()  # also cleared for the full list, which includes the changes
         return self.nodes.statuses_of_machine(self.name) if all_nodes else changed
 
+    def peer_reported(self) -> None:
+        """Resume leadership if this was the last report that it needs, or follow a peer that is ahead."""
+        self._resumption.reconcile()
+        if self.replication is not None and self.store.replica.is_returning:
+            self.replication.reconcile()
+
     def peer_lost(self, peer: str) -> None:
         """Mark the nodes of a lost peer as disconnected; they fail over to other machines."""
         log.warning("peer lost: peer=%s", peer)
--- a/rosewheel/control/machine_api.py
+++ b/rosewheel/control/machine_api.py
@@ -36,6 +36,7 @@
     WatchRequest,
 )
 from rosewheel.control.promotion import COMMIT_TIMEOUT_S, Promotion
+from rosewheel.control.resumption import Resumption
 from rosewheel.control.revisions import Change
 from rosewheel.control.validation import MAX_DOCUMENT_BYTES, validate_patch
 from rosewheel.control.watches import Watch
@@ -56,19 +57,23 @@
 class MachineApi:
     """Handles the requests of all connections to one control machine."""
 
-    def __init__(self, parts: MachineParts, process_id: str) -> None:
+    def __init__(
+        self, parts: MachineParts, process_id: str, promotion: Promotion, resumption: Resumption
+    ) -> None:
         """Set up the routes.
 
         Args:
             parts: Parts of the machine.
             process_id: Random identifier of this process.
+            promotion: Promotes the machine.
+            resumption: Has the machine lead again after a restart.
         """
         self._process_id = process_id
         self._settings, self._store, self._nodes = parts.settings, parts.store, parts.nodes
         self._watches, self._peers, self._clock = parts.watches, parts.peers, parts.clock
         self._connections: dict[JsonConnection, None] = {}
         self._status_reporter = StatusReporter(parts)
-        self._promotion = Promotion(parts)
+        self._promotion, self._resumption = promotion, resumption
         self._routes = {
             paths.CONFIG_PATH: _Route("GET", self._config),
             paths.ACKNOWLEDGE_PATH: _Route("POST", self._acknowledge),
@@ -179,7 +184,7 @@
         if peer is None:
             name = self._settings.name
             raise MalformedMessageError(f"machine: {heartbeat.machine!r} is not a peer of {name}")
-        await peer.peer_reported(heartbeat.highest_epoch_seen, heartbeat.last)
+        await peer.peer_reported(heartbeat.highest_epoch_seen, heartbeat.last, heartbeat.digest)
         now_s = self._clock.time()
         for status in heartbeat.node_statuses or ():
             self._nodes.record(status, now_s)
@@ -194,7 +199,12 @@
     def _state(self, is_fenced: bool = False) -> MachineState:
         replica = self._store.replica
         return MachineState(
-            self._settings.name, self._process_id, replica.highest_epoch_seen, replica.last, is_fenced
+            self._settings.name,
+            self._process_id,
+            replica.highest_epoch_seen,
+            replica.last,
+            is_fenced,
+            replica.last_digest,
         )
 
     # Requests of operators.
@@ -209,9 +219,11 @@
     async def _put(self, row: JsonObject) -> JsonResponse:
         request = codec.decode_put(row)
         validate_patch(request.patch)
+        await self._resumption.wait()
         return await self._change_response(await self._store.put(request))
 
     async def _rollback(self, row: JsonObject) -> JsonResponse:
+        await self._resumption.wait()
         return await self._change_response(await self._store.rollback(codec.decode_rollback(row)))
 
     async def _change_response(self, change: Change | None) -> JsonResponse:
--- a/rosewheel/control/machine_status.py
+++ b/rosewheel/control/machine_status.py
@@ -6,7 +6,7 @@
 
 from rosewheel.control.codec.status import encode_status, relay_status, status_target
 from rosewheel.control.codec.values import JsonObject
-from rosewheel.control.errors import HttpCallError
+from rosewheel.control.errors import HttpCallError, LeaderReturningError
 from rosewheel.control.fleet_report import FleetReporter
 from rosewheel.control.heartbeats import PeerHeartbeat
 from rosewheel.control.machine_parts import MachineParts
@@ -46,6 +46,8 @@
                 problem = (
                     f"the leader {leader.peer} does not respond; this report is from {self._name}: {error}"
                 )
+        elif replica.is_returning:
+            problem = str(LeaderReturningError(self._name, replica.peers_to_compare))
         elif leader is None and not replica.is_leader:
             problem = f"no active leader is known; this report is from {self._name}"
         return encode_status(self.report(all_nodes, problem))
--- a/rosewheel/control/messages.py
+++ b/rosewheel/control/messages.py
@@ -100,6 +100,7 @@
         last: Last revision on the sender's disk.
         node_statuses: Node statuses that the sender forwards; None unless the receiver is the leader.
         includes_all_nodes: Whether `node_statuses` has all nodes that watch the sender; otherwise only changed ones.
+        digest: Digest of `last` and its document; empty from a machine that sends none.
     """
 
     machine: str
@@ -107,6 +108,7 @@
     last: Revision
     node_statuses: tuple[NodeStatus, ...] | None = None
     includes_all_nodes: bool = False
+    digest: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -119,6 +121,7 @@
         highest_epoch_seen: Highest epoch that the machine has seen.
         last: Last revision on its disk.
         is_fenced: Whether the machine rejects everything below the epoch of the fence; False for a heartbeat.
+        digest: Digest of `last` and its document; empty from a machine that sends none.
     """
 
     machine: str
@@ -126,6 +129,7 @@
     highest_epoch_seen: Epoch
     last: Revision
     is_fenced: bool = False
+    digest: str = ""
 
 
 # Requests of operators and their responses.
--- a/rosewheel/control/promotion.py
+++ b/rosewheel/control/promotion.py
@@ -24,6 +24,7 @@
     def __init__(self, parts: MachineParts) -> None:
         """Set the machine to promote."""
         self._name, self._store, self._peers = parts.name, parts.store, parts.peers
+        self._lock = asyncio.Lock()
 
     async def run(self, request: PromoteRequest) -> ChangeResponse:
         """Promote this machine: fence the peers at a new epoch, then write the first revision of that epoch.
@@ -34,11 +35,17 @@
             NotReplicatedError: The first revision of the epoch is not replicated yet.
             OSError: The log can't be written.
         """
+        async with self._lock:
+            return await self._run(request)
+
+    async def _run(self, request: PromoteRequest) -> ChangeResponse:
         replica = self._store.replica
         if replica.is_leader:
             return ChangeResponse(replica.last, changed=False)
         # Check before fencing, so that a promotion that is not allowed leaves the current leader in place.
-        heartbeat = Heartbeat(self._name, replica.highest_epoch_seen, replica.last)
+        heartbeat = Heartbeat(
+            self._name, replica.highest_epoch_seen, replica.last, digest=replica.last_digest
+        )
         states = await self._call_peers(HEARTBEAT_PATH, encode_heartbeat(heartbeat))
         if not request.force:
             replica.check_promotable(_last_revisions(states))
--- a/rosewheel/control/replica.py
+++ b/rosewheel/control/replica.py
@@ -3,6 +3,8 @@
 The caller writes records to disk before it reports them with `appended`, `suffix_appended` or `epoch_observed`, and
 sends nothing to other machines before that.
 
+- A machine that returns leads only in a new epoch, which it begins once it has compared its log with all peers: its
+  folder may be an old copy, and a second change under a revision that others already have would not be noticed.
 - One machine leads. Every revision carries the epoch of its leader. A machine accepts nothing from an epoch lower than
   the highest it has seen, and a leader that sees a higher epoch stops accepting changes.
 - A change is committed once the leader and at least one other machine have it on disk. Nodes receive committed
@@ -19,6 +21,7 @@
 from rosewheel.control.errors import (
     FencedError,
     LeaderLogLostError,
+    LeaderReturningError,
     NotLeaderError,
     PeersNotContactedError,
     PreviousChangeUncommittedError,
@@ -53,7 +56,9 @@
         history: All revisions in this machine's log, committed or not.
         highest_epoch_seen: Fencing threshold; data from a lower epoch is rejected.
         started_empty: Whether the log had no records at startup.
+        led_epoch: The epoch that this process leads, or has led; None if none.
         peer_revisions: Last revision on each peer's disk, as last reported.
+        diverged_peers: Peers that have another content of their last revision, which is no copy of it.
         uncommitted_count: Number of newest revisions that are not known to be on another machine's disk.
     """
 
@@ -72,13 +77,16 @@
         self.name, self.peers = name, tuple(peers)
         self.history = RevisionHistory()
         self.highest_epoch_seen = UNKNOWN_EPOCH
+        self.led_epoch: Epoch | None = None
         self.started_empty = True
         for record in records:
             self.started_empty = False
             self._replay(record)
         if self.started_empty and initial_leader:
             self.highest_epoch_seen = Epoch(FIRST_EPOCH_NUMBER, initial_leader)
+        self._has_returned = self.last != INITIAL_REVISION and self.highest_epoch_seen.leader == name
         self.peer_revisions: dict[str, Revision] = {}
+        self.diverged_peers: set[str] = set()
         self.uncommitted_count = self._uncommitted_at_start() if self.peers else 0
 
     def _replay(self, record: LogRecord) -> None:
@@ -115,15 +123,38 @@
     def is_leader(self) -> bool:
         """Whether this machine may accept changes.
 
-        The highest epoch seen must be its own, and the log must have a revision of that epoch, which a promotion
-        writes as its last step. Before the first revision of the first epoch, all peers must have reported an empty
-        log instead.
+        The highest epoch seen must be its own, and this process must have written a revision of that epoch, which a
+        promotion does as its last step. Before the first revision of the first epoch, all peers must have reported an
+        empty log instead.
         """
         if self.highest_epoch_seen.leader != self.name:
             return False
-        if self.last.epoch == self.highest_epoch_seen:
+        if self.led_epoch == self.highest_epoch_seen:
             return True
-        return self.highest_epoch_seen.number == FIRST_EPOCH_NUMBER and not self.peers_not_reported_empty
+        is_first = self.highest_epoch_seen.number == FIRST_EPOCH_NUMBER and self.last == INITIAL_REVISION
+        return is_first and not self.peers_not_reported_empty
+
+    @property
+    def is_returning(self) -> bool:
+        """Whether this machine led before its restart, and no other machine was promoted since.
+
+        It may have fenced its peers and itself at an epoch of its own that it has not begun.
+        """
+        return self._has_returned
+
+    @property
+    def peers_to_compare(self) -> list[str]:
+        """Peers that have not reported since the restart, or whose last revision this machine has to receive first."""
+        return [peer for peer in self.peers if self.peer_revisions.get(peer) is None or self._is_ahead(peer)]
+
+    @property
+    def most_advanced_peer(self) -> str:
+        """The peer with the newest revision, if that is later than the last one here; empty if there is none."""
+        ahead = [peer for peer in self.peer_revisions if self._is_ahead(peer)]
+        return max(ahead, key=lambda peer: self.peer_revisions[peer], default="")
+
+    def _is_ahead(self, peer: str) -> bool:
+        return self.peer_revisions[peer] > self.last
 
     @property
     def peers_not_reported_empty(self) -> list[str]:
@@ -149,6 +180,11 @@
             raise RuntimeError(f"committed revision is not retained: {self.committed}")
         return document
 
+    @property
+    def last_digest(self) -> str:
+        """Digest of the newest revision in this machine's log, by which an acknowledgement names its history."""
+        return self.history.digest_at(self.last)
+
     @property
     def log_records(self) -> list[LogRecord]:
         """The records of a compacted log."""
@@ -183,6 +219,8 @@
     def _not_leader_error(self) -> NotLeaderError | WriteUnavailableError:
         if self.highest_epoch_seen == Epoch(FIRST_EPOCH_NUMBER, self.name) and self.last == INITIAL_REVISION:
             return self._first_change_error()
+        if self.is_returning:
+            return LeaderReturningError(self.name, self.peers_to_compare)
         leader = self.highest_epoch_seen.leader
         return NotLeaderError(self.name, leader if leader != self.name else "")
 
@@ -194,6 +232,7 @@
 
     def appended(self, change: Change) -> None:
         """Update the state after a change of this leader was written to its log."""
+        self.led_epoch, self._has_returned = change.revision.epoch, False
         self.history.append(change)
         if change.unreplicated or not self.peers:
             self.uncommitted_count = 0
@@ -201,36 +240,51 @@
             self.uncommitted_count += 1
         self._update_committed()
 
-    def peer_acknowledged(self, peer: str, revision: Revision) -> bool:
+    def peer_acknowledged(self, peer: str, revision: Revision, digest: str = "") -> bool:
         """Record that a peer has a revision on disk.
 
+        Args:
+            peer: Name of the peer.
+            revision: The peer's last revision.
+            digest: The peer's digest of it; empty from a machine that sends none.
+
         Returns:
             Whether this committed more revisions.
         """
         if peer not in self.peers:
             return False
         self.peer_revisions[peer] = revision
+        own_digest = self.history.digest_at(revision)
+        if digest and own_digest and digest != own_digest:
+            self.diverged_peers.add(peer)
+        else:
+            self.diverged_peers.discard(peer)
         return self._update_committed()
 
     def _update_committed(self) -> bool:
         before = self.uncommitted_count
-        for revision in self.peer_revisions.values():
-            if self.uncommitted_count and self.history.contains(revision):
+        for peer, revision in self.peer_revisions.items():
+            is_copy = peer not in self.diverged_peers and self.history.contains(revision)
+            if self.uncommitted_count and is_copy:
                 self.uncommitted_count = min(self.uncommitted_count, self.last.number - revision.number)
         return self.uncommitted_count != before
 
     # Operations of a follower, and of the machine that sends it the log.
 
-    def log_suffix(self, revision: Revision) -> LogSuffix | None:
+    def log_suffix(self, revision: Revision, peer: str = "") -> LogSuffix | None:
         """Return the log after a follower's last revision; None if this machine has nothing newer to send.
 
         Only the leader sends uncommitted changes: those of a replaced leader must not spread.
+
+        Args:
+            revision: The follower's last revision.
+            peer: Name of the follower. One whose history diverges gets a snapshot.
         """
         offered = self.last if self.is_leader else self.committed
         if revision >= offered:
             return None
         surplus = self.last.number - offered.number
-        changes = self.history.changes_after(revision)
+        changes = None if peer in self.diverged_peers else self.history.changes_after(revision)
         snapshot = None
         if changes is None:
             changes, snapshot = list(self.history.changes), self.history.snapshot
@@ -244,7 +298,8 @@
             StaleSuffixError: The suffix does not end after this machine's last revision.
             OutOfSequenceError: A change does not directly follow the previous revision.
         """
-        if suffix.last.epoch < self.highest_epoch_seen:
+        # A machine that returns may have fenced itself at an epoch that it has not begun.
+        if suffix.last.epoch < self.highest_epoch_seen and not self.is_returning:
             raise FencedError(suffix.last, self.highest_epoch_seen)
         if suffix.last <= self.last:
             raise StaleSuffixError(suffix.last, self.last)
@@ -259,7 +314,7 @@
             self.history = RevisionHistory(suffix.snapshot)
         for change in suffix.changes:
             self.history.append(change)
-        self.highest_epoch_seen = max(self.highest_epoch_seen, self.last.epoch)
+        self._see(self.last.epoch)
         self.uncommitted_count = 0  # the sender has the second copy
 
     def trim(self, retained: int = RETAINED_REVISIONS) -> None:
@@ -283,7 +338,11 @@
 
     def epoch_observed(self, epoch: Epoch) -> None:
         """Update the highest epoch seen after its record was written to the log."""
+        self._see(epoch)
+
+    def _see(self, epoch: Epoch) -> None:
         self.highest_epoch_seen = max(self.highest_epoch_seen, epoch)
+        self._has_returned = self._has_returned and self.highest_epoch_seen.leader == self.name
 
     def draft_promotion(self, epoch: Epoch, created_at_s: float, author: str, unreplicated: bool) -> Change:
         """Return the first change of this machine's epoch. Its patch is empty; peers and nodes learn the epoch from it.
--- a/rosewheel/control/replication_watch.py
+++ b/rosewheel/control/replication_watch.py
@@ -67,7 +67,9 @@
 
     @property
     def _leader(self) -> str:
-        return self._store.replica.highest_epoch_seen.leader
+        """The machine to follow: the leader, or while this machine returns as the leader, the most advanced peer."""
+        replica = self._store.replica
+        return replica.most_advanced_peer if replica.is_returning else replica.highest_epoch_seen.leader
 
     def close(self) -> None:
         """Close the watch; `reconcile` has no effect afterwards."""
--- a/rosewheel/control/store.py
+++ b/rosewheel/control/store.py
@@ -203,10 +203,13 @@
                 log.warning("leadership lost: another machine promoted, leader=%s", epoch.leader)
             self._notify()
 
-    def peer_acknowledged(self, peer: str, revision: Revision) -> None:
-        """Record that a peer has a revision on disk."""
-        if self.replica.peer_acknowledged(peer, revision):
+    def peer_acknowledged(self, peer: str, revision: Revision, digest: str) -> None:
+        """Record that a peer has a revision on disk; see `Replica.peer_acknowledged`."""
+        had_diverged = peer in self.replica.diverged_peers
+        if self.replica.peer_acknowledged(peer, revision, digest):
             self._notify()
+        if peer in self.replica.diverged_peers and not had_diverged:
+            log.error("history diverged: peer=%s has another content of %s", peer, revision)
 
     async def begin_epoch(
         self, epoch: Epoch, peer_revisions: Mapping[str, Revision], force: bool, author: str
--- a/rosewheel/control/watches.py
+++ b/rosewheel/control/watches.py
@@ -143,7 +143,7 @@
             watch.sent = committed
 
     def _send_suffix(self, watch: Watch) -> None:
-        suffix = self._replica.log_suffix(watch.sent)
+        suffix = self._replica.log_suffix(watch.sent, watch.peer)
         if suffix is not None:
             watch.connection.write(encode_chunk(encode_log_suffix(suffix) + b"\n"))
             watch.sent = suffix.last
--- a/tests/control/test_machine.py
+++ b/tests/control/test_machine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import shutil
 import socket
 from pathlib import Path
 from typing import Any
@@ -426,6 +427,38 @@
     run(main())
 
 
+def test_a_leader_that_returns_with_an_old_copy_of_its_folder_loses_no_accepted_change(tmp_path: Path):
+    """Guards against two contents of one version on two machines each (review case 8)."""
+
+    async def main() -> None:
+        async with control_cluster(tmp_path) as cluster:
+            await until_contacted(cluster)
+            accepted = [{"limits": {"max_open": value}} for value in (5, 6, 7, 8)]
+            for patch in accepted[:2]:
+                assert (await cluster.put("c1", patch))[0] == 200
+            await until(lambda: all_committed(cluster, 2))
+            await cluster.stop("c4")
+            shutil.copytree(tmp_path / "c1", tmp_path / "copy")
+            assert (await cluster.put("c1", accepted[2]))[0] == 200
+            await until(lambda: all_committed(cluster, 3))
+            await cluster.stop("c1")
+            shutil.rmtree(tmp_path / "c1")
+            shutil.move(tmp_path / "copy", tmp_path / "c1")
+            await cluster.start("c1")
+            code, body = await cluster.put("c1", accepted[3])
+            assert code in (409, 503), body  # not before c4 has reported
+            await cluster.start("c4")
+            await until(lambda: cluster.machines["c1"].store.replica.is_leader)
+            code, body = await cluster.put("c1", accepted[3])
+            assert code == 200, body
+            await until(lambda: all_committed(cluster, 5))
+            for machine in cluster.machines.values():
+                patches = [change.patch for change in machine.store.replica.history.changes]
+                assert [patch for patch in patches if patch] == accepted
+
+    run(main())
+
+
 def test_followers_return_to_a_restarted_leader_before_a_change_times_out(tmp_path: Path):
     def sources(cluster: ControlCluster) -> set[str]:
         replications = [cluster.machines[name].replication for name in ("c2", "c3")]
