The soak plays hostile clients: unreadable targets and deadlines, and repeated ids

Change: a kind of fault that is drawn apart from the others, so that each seed keeps its plan of these; two plants.

--- a/rosewheel/lab/soak/crowd.py
+++ b/rosewheel/lab/soak/crowd.py
@@ -16,6 +16,11 @@
 PIECE_BYTES = 32 * 1024
 PIECE_INTERVAL_S = 0.1
 FIELD_COUNT = 3000
+HOSTILE_CLIENTS_OF_A_KIND = 2
+HOSTILE_PAUSE_S = 0.005  # between two requests of a hostile client, so that the soak itself keeps up
+UNREADABLE_TARGET = b" http://[/api "
+UNREADABLE_BODY_BYTES = 30_000
+LONG_DEADLINE = "9" * 400
 TINY_CHUNK_CLIENTS = 6
 TINY_CHUNK_COUNT = 150_000
 CONNECTION_ERRORS = (OSError, asyncio.IncompleteReadError, RuntimeError)
@@ -57,13 +62,29 @@
         """Send bodies in chunks of two bytes, as fast as they are taken."""
         await self._play([self._send_chunks] * TINY_CHUNK_CLIENTS, duration_s)
 
-    async def _play(self, members: list[Callable[..., Awaitable[None]]], duration_s: float) -> None:
-        tasks = [asyncio.create_task(self._join(member)) for member in members]
+    async def send_hostile_requests(self, duration_s: float) -> None:
+        """Send targets and deadlines that can't be read, and the same request again at once after each response."""
+        kinds = (self._send_unreadable_target, self._send_long_deadline, self._send_again)
+        members = [self._return_always(kind) for kind in kinds * HOSTILE_CLIENTS_OF_A_KIND]
+        tasks = [asyncio.create_task(member) for member in members]
         await asyncio.sleep(duration_s)
+        await self._end(tasks)
+
+    async def _return_always(self, member: Callable[..., Awaitable[None]]) -> None:
+        while True:
+            await self._join(member)
+            await asyncio.sleep(HOSTILE_PAUSE_S)
+
+    async def _end(self, tasks: list[asyncio.Task[None]]) -> None:
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def _play(self, members: list[Callable[..., Awaitable[None]]], duration_s: float) -> None:
+        tasks = [asyncio.create_task(self._join(member)) for member in members]
+        await asyncio.sleep(duration_s)
+        await self._end(tasks)
+
     async def _join(self, member: Callable[..., Awaitable[None]]) -> None:
         writer = None
         try:
@@ -106,6 +127,33 @@
     async def _stay_silent(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, id: str) -> None:
         await reader.read()
 
+    async def _send_unreadable_target(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, id: str
+    ) -> None:
+        head = self._head(id, f"Content-Length: {UNREADABLE_BODY_BYTES}")
+        writer.write(head.replace(f" /api/{id} ".encode(), UNREADABLE_TARGET) + bytes(UNREADABLE_BODY_BYTES))
+        await reader.read()
+
+    async def _send_long_deadline(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, id: str
+    ) -> None:
+        behind = self._head(self._next_id()).replace(
+            f"Request-Timeout-Ms: {self._timeout_ms}".encode(),
+            f"Request-Timeout-Ms: {LONG_DEADLINE}".encode(),
+        )
+        writer.write(self._head(id) + behind)
+        await reader.read()
+
+    async def _send_again(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, id: str) -> None:
+        request = encode_head(id, RequestKind.READ, self._timeout_ms)
+        while True:
+            writer.write(request)
+            head = (await reader.readuntil(b"\r\n\r\n")).lower()
+            if b"content-length:" not in head:  # a long response, which is not read
+                return
+            await reader.readexactly(int(head.split(b"content-length:")[1].split()[0]))
+            await asyncio.sleep(HOSTILE_PAUSE_S)
+
     async def _send_chunks(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, id: str) -> None:
         writer.write(self._head(id, "Transfer-Encoding: chunked") + b"2\r\nab\r\n" * TINY_CHUNK_COUNT)
         writer.write(b"0\r\n\r\n")
--- a/rosewheel/lab/soak/plan.py
+++ b/rosewheel/lab/soak/plan.py
@@ -50,6 +50,12 @@
     SERVER_STOP_READING = "server-stop-reading"
     SERVER_REPLACED = "server-replaced"
     NODE_SIGNALS = "node-signals"
+    CLIENTS_HOSTILE = "clients-hostile"
+
+
+# Kinds that are drawn apart from the others, so that a seed keeps its plan of these.
+SEPARATE_KINDS = (FaultKind.CLIENTS_HOSTILE,)
+SEPARATE_INTERVAL_S = (3.0, 6.0)
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -95,10 +101,25 @@
     while at_s < seconds - COOL_DOWN_S:
         for_s = min(rng.uniform(*FAULT_DURATION_S), seconds - COOL_DOWN_S - at_s)
         if not kinds:  # uses each kind once before any is repeated
-            kinds = rng.sample(list(FaultKind), len(FaultKind))
+            common = [kind for kind in FaultKind if kind not in SEPARATE_KINDS]
+            kinds = rng.sample(common, len(common))
         faults.append(Fault(kinds.pop(), round(at_s, 3), round(for_s, 3), rng.randrange(1 << 16)))
         at_s += rng.uniform(*FAULT_INTERVAL_S)
-    return SoakPlan(seed, seconds, nodes, tuple(faults), draw_deployment(seed))
+    faults += _draw_separate_faults(seed, seconds)
+    in_order = sorted(faults, key=lambda fault: fault.at_s)
+    return SoakPlan(seed, seconds, nodes, tuple(in_order), draw_deployment(seed))
+
+
+def _draw_separate_faults(seed: int, seconds: float) -> list[Fault]:
+    rng = random.Random(f"soak-separate-{seed}")
+    faults: list[Fault] = []
+    at_s = WARM_UP_S + rng.uniform(*SEPARATE_INTERVAL_S)
+    while at_s < seconds - COOL_DOWN_S:
+        for_s = min(rng.uniform(*FAULT_DURATION_S), seconds - COOL_DOWN_S - at_s)
+        kind, target = rng.choice(SEPARATE_KINDS), rng.randrange(1 << 16)
+        faults.append(Fault(kind, round(at_s, 3), round(for_s, 3), target))
+        at_s += rng.uniform(*SEPARATE_INTERVAL_S)
+    return faults
 
 
 def select_faults(plan: SoakPlan, numbers: Collection[int]) -> SoakPlan:
--- a/rosewheel/lab/soak/planted_node.py
+++ b/rosewheel/lab/soak/planted_node.py
@@ -16,12 +16,14 @@
 from rosewheel.http.downstream_connection import DownstreamConnection
 from rosewheel.http.ended_request_ids import EndedRequestIds
 from rosewheel.http.errors import BadRequestError
+from rosewheel.http.held_requests import HeldRequests
 from rosewheel.http.request_reader import MAX_PIPELINED_REQUESTS, RequestReader
 from rosewheel.http.response_timer import ResponseState
 from rosewheel.http.turns import Turns
 from rosewheel.http.upstream_connection import UpstreamConnection
 from rosewheel.node.in_flight import InFlightRequest
 from rosewheel.node.memory_account import BufferBudget, MemoryAccount
+from rosewheel.node.request_table import RequestTable
 from rosewheel.node.rules import RequestRules
 from rosewheel.policy.actions import RejectRequest
 from rosewheel.policy.attempts import Attempts
@@ -139,6 +141,20 @@
     _patch(EndedRequestIds, "__contains__", lambda *_: False)
 
 
+def _leaks_requests() -> None:
+    _patch(HeldRequests, "release", lambda *_: None)
+    _patch(HeldRequests, "release_all", lambda *_: None)
+
+
+def _timers_by_id() -> None:
+    def time_left_ms(rules: RequestRules, now: float, id: str, attempt: int) -> float:
+        request = rules._table.requests[id]
+        return min(request.attempts[attempt].timeout_ms, request.deadline_ms - now)
+
+    _patch(RequestTable, "owner", lambda table, timer: table.requests.get(timer.subject))
+    _patch(RequestRules, "time_left_ms", time_left_ms)
+
+
 PLANTS: dict[str, Callable[[], None]] = {
     "stale-deadline": _stale_deadline,
     "rejects-pipelined": _rejects_pipelined,
@@ -152,6 +168,8 @@
     "cuts-pauses": _cuts_pauses,
     "step-for-each-chunk": _step_for_each_chunk,
     "forgets-ids": _forgets_ids,
+    "leaks-requests": _leaks_requests,
+    "timers-by-id": _timers_by_id,
 }
 
 
--- a/rosewheel/lab/soak/run.py
+++ b/rosewheel/lab/soak/run.py
@@ -40,6 +40,7 @@
     FaultKind.SERVER_PAUSE,
     FaultKind.SERVER_STOP_READING,
 )
+CROWD_FAULTS = (FaultKind.CLIENTS_CROWD, FaultKind.CLIENTS_TINY_CHUNKS, FaultKind.CLIENTS_HOSTILE)
 DISCOVERY_FAULTS = (FaultKind.DISCOVERY_SILENT, FaultKind.DISCOVERY_SPLIT)
 
 
@@ -163,7 +164,7 @@
             await self._crash_server(self._servers[fault.target % len(self._servers)])
         elif fault.kind is FaultKind.SERVER_REPLACED:
             await self._replace_server(self._servers[fault.target % len(self._servers)])
-        elif fault.kind in (FaultKind.CLIENTS_CROWD, FaultKind.CLIENTS_TINY_CHUNKS):
+        elif fault.kind in CROWD_FAULTS:
             await self._send_crowd(fault, self._nodes[fault.target % len(self._nodes)])
         else:
             await self._inject_node_fault(fault, self._nodes[fault.target % len(self._nodes)])
@@ -210,6 +211,8 @@
         crowd = Crowd(node.address, self.records, self._fork_rng(), self.plan.deployment.deadline_ms)
         if fault.kind is FaultKind.CLIENTS_CROWD:
             await crowd.hold_memory(fault.for_s)
+        elif fault.kind is FaultKind.CLIENTS_HOSTILE:
+            await crowd.send_hostile_requests(fault.for_s)
         else:
             await crowd.send_tiny_chunks(fault.for_s)
 
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -10,7 +10,8 @@
 
 from rosewheel.cli.main import main
 from rosewheel.config.errors import InvalidFileError
-from rosewheel.lab.soak.plan import SoakPlan, draw_plan, encode_plan, read_plan, select_faults
+from rosewheel.lab.soak import plan
+from rosewheel.lab.soak.plan import SEPARATE_KINDS, SoakPlan, draw_plan, encode_plan, read_plan, select_faults
 from rosewheel.lab.soak.planted_node import PLANTS
 from rosewheel.lab.soak.records import (
     ClientRecord,
@@ -37,6 +38,15 @@
     assert select_faults(plan, {0, 3}).faults == (plan.faults[0], plan.faults[3])
 
 
+def test_kinds_that_are_drawn_apart_leave_the_other_faults_of_a_seed_alone(monkeypatch: pytest.MonkeyPatch):
+    with_all = draw_plan(11, 60.0, 8).faults
+    monkeypatch.setattr(plan, "_draw_separate_faults", lambda *_: [])
+    assert [fault for fault in with_all if fault.kind not in SEPARATE_KINDS] == list(
+        draw_plan(11, 60.0, 8).faults
+    )
+    assert {fault.kind for fault in with_all} >= set(SEPARATE_KINDS)
+
+
 def test_faults_overlap():
     plan = draw_plan(7, 60.0, 24)
     counts = [concurrent_faults(plan, at_s / 10.0) for at_s in range(30, 550)]
