--- a/rosewheel/http/downstream_server.py
+++ b/rosewheel/http/downstream_server.py
@@ -288,7 +288,7 @@
         self.idle_connections[connection] = None
         self.memory.connection_count = len(self.connections)
         # Connections of clients must not take the descriptors that are reserved for connections to servers.
-        is_full = len(self.connections) > self.max_connections and not self.close_longest_idle()
+        is_full = len(self.connections) > self.max_connections and not self._make_room()
         is_full = is_full or not self.descriptor_available()
         reason = Reason.DESCRIPTORS_EXHAUSTED if is_full else Reason.ALLOWED
         connection.over_limit = not self.monitor.is_allowed(CheckedOperation.ACCEPT, reason)
@@ -339,7 +339,7 @@
         self.last_rejection = f"{error.status}: {error}"
 
     def close_longest_idle(self) -> bool:
-        """Close the longest idle connection, or else one with an incomplete request; return whether one was closed."""
+        """Close the longest idle connection, or else one with an incomplete head; return whether one was closed."""
         for connection in self.idle_connections:
             min_idle_s = (
                 MIN_IDLE_BEFORE_RECLAIM_S if connection.has_sent_request else MIN_INACTIVITY_BEFORE_RECLAIM_S
@@ -359,10 +359,12 @@
             partial.reject_incomplete_request()
             self.connection_closed(partial)
             return True
-        return self._close_stalled_upload()
+        return False
 
-    def _close_stalled_upload(self) -> bool:
-        """Close a connection whose client has stopped within a body; return whether there was one."""
+    def _make_room(self) -> bool:
+        """Close an idle connection, or else one whose client has stopped within a body; return whether one was."""
+        if self.close_longest_idle():
+            return True
         now_s = self.loop.time()
         for connection in self.connections:
             if connection.close_if_upload_stalled(now_s, MIN_INACTIVITY_BEFORE_RECLAIM_S):
