Read a short rest of a body at once while memory is exhausted

Cause: an exhausted node paused each request that was not read in one piece until the next shedding, so requests sent at once waited 50 ms one after another, or longer beside load.

Change: reading goes on while at most one small read (4 KiB) of the body is missing.

--- a/rosewheel/http/backpressure.py
+++ b/rosewheel/http/backpressure.py
@@ -5,6 +5,7 @@
 from rosewheel.http import connection_close
 from rosewheel.http.downstream_detach import DetachableConnection
 from rosewheel.http.input_clock import MAX_UNREAD_WITH_SPACE_BYTES
+from rosewheel.http.reading import SMALL_READ_BYTES
 from rosewheel.http.request import DownstreamRequest
 from rosewheel.http.response_sender import ResponseSenderOwner
 from rosewheel.http.turns import TurnQuota
@@ -170,7 +171,8 @@
             return True
         incoming = self.incoming_request
         if incoming is not None and self.server.memory.is_exhausted and not incoming.body.released:
-            return True
+            # A short rest is read at once: a pause for each of several requests sent at once would add up.
+            return not 0 < incoming.missing_bytes <= SMALL_READ_BYTES
         if incoming is None or not incoming.body.streaming:
             return self.write_blocked or self._queue_is_full()
         budget = self.server.memory.bodies
