A full node sends no more requests to servers, and responses keep to their share

Cause: nothing asked for memory before an attempt began; complete requests went on to servers while memory was exhausted, some 15 KB each, and the share of responses was never compared. Now connections buffer less above that share and while memory is exhausted, a connection reads little more before it pauses, and once half of the reserve is taken further requests get 503.

--- a/rosewheel/http/downstream_connection.py
+++ b/rosewheel/http/downstream_connection.py
@@ -220,7 +220,7 @@
         """Answer a request, or have the server process it.
 
         Raises:
-            MemoryExhaustedError: Its body is incomplete, and the process holds too much memory.
+            MemoryExhaustedError: The process holds too much memory for its body or for any response.
             BadRequestError: The request is not valid.
         """
         self.active_request = request
@@ -238,7 +238,8 @@
             self.active_request = None
             self._held.release(request)
             return
-        if self.server.memory.is_exhausted and request is self.incoming_request:
+        memory = self.server.memory
+        if memory.is_full or (request is self.incoming_request and memory.is_exhausted):
             raise MemoryExhaustedError
         self.last_activity_s = self.server.loop.time()
         if request.completed_s is None:
--- a/rosewheel/http/reading.py
+++ b/rosewheel/http/reading.py
@@ -9,6 +9,9 @@
 
 MAX_READ_BYTES = 64 * 1024
 SMALL_READ_BYTES = 4 * 1024  # while memory is scarce
+MINIMAL_READ_BYTES = (
+    1024  # of requests while memory is exhausted: each connection reads once more before it pauses
+)
 
 # One for the process: the loop fills it and passes it on before it reads another connection.
 _buffer = memoryview(bytearray(MAX_READ_BYTES))
--- a/rosewheel/http/request_reader.py
+++ b/rosewheel/http/request_reader.py
@@ -15,7 +15,7 @@
 from rosewheel.http.held_requests import HeldRequests
 from rosewheel.http.input_clock import InputClock
 from rosewheel.http.partial_request import PartialRequest
-from rosewheel.http.reading import MAX_READ_BYTES, SMALL_READ_BYTES, BoundedReads
+from rosewheel.http.reading import MAX_READ_BYTES, MINIMAL_READ_BYTES, SMALL_READ_BYTES, BoundedReads
 from rosewheel.http.request import DownstreamRequest
 from rosewheel.http.request_head import MAX_BODY_BYTES, MAX_HEAD_BYTES, RequestHead
 from rosewheel.http.request_reader_owner import RequestReaderOwner
@@ -110,8 +110,9 @@
 
     def read_size(self) -> int:
         """Return the largest number of bytes to read at once."""
-        if self.server.memory.is_scarce:
-            return SMALL_READ_BYTES
+        memory = self.server.memory
+        if memory.is_scarce:
+            return MINIMAL_READ_BYTES if memory.is_exhausted else SMALL_READ_BYTES
         incoming = self.incoming_request
         is_chunked = incoming is not None and incoming.content_length is None
         return MAX_PARSED_CHUNKED_BYTES if is_chunked else MAX_READ_BYTES
--- a/rosewheel/http/write_buffer.py
+++ b/rosewheel/http/write_buffer.py
@@ -8,11 +8,14 @@
 
 STREAM_WINDOW_BYTES = 64 * 1024  # buffer for a streamed request body, and for the unsent bytes of a response
 SMALL_STREAM_WINDOW_BYTES = 4 * 1024  # the same while memory is scarce
+MINIMAL_STREAM_WINDOW_BYTES = 512  # the same while memory is exhausted
 
 
 def stream_window(memory: MemoryAccount) -> int:
     """Return how many bytes of a streamed body or response one connection may buffer."""
-    return SMALL_STREAM_WINDOW_BYTES if memory.is_scarce else STREAM_WINDOW_BYTES
+    if not memory.is_scarce:
+        return STREAM_WINDOW_BYTES
+    return MINIMAL_STREAM_WINDOW_BYTES if memory.is_exhausted else SMALL_STREAM_WINDOW_BYTES
 
 
 class UnsentWrites:
--- a/rosewheel/node/memory_account.py
+++ b/rosewheel/node/memory_account.py
@@ -13,13 +13,14 @@
 # Left free of the limit for what no holder counts: fragmentation, tasks, and the collector's delay.
 MIN_RESERVE_BYTES = 3 << 19
 RESERVE_SHARE = 0.04
+FULL_RESERVE_SHARE = 0.5  # of what is left free: once more of it is taken, no attempt begins
 MIN_AVAILABLE_BYTES = 1 << 20
 CONNECTION_SHARE_DIVISOR = 4  # the bodies of one connection take at most the budget divided by this
 # Shares of the available memory.
 CONNECTION_SHARE = 0.5  # for connections of clients without their requests
 BODY_SHARE = 0.15
 HEAD_SHARE = 0.1
-RESPONSE_SHARE = 0.25
+RESPONSE_SHARE = 0.125
 REQUEST_ID_SHARE = 0.03
 
 
@@ -55,7 +56,7 @@
         limit_bytes: Limit of the process, at which the platform kills it.
         baseline_bytes: Resident memory before the first client; 0 if it was not measured.
         shared_bytes: Part of the baseline that processes share: pages of files.
-        resident_bytes: Resident memory when it was last read; 0 if it was not.
+        resident_bytes: Resident memory in use when it was last read; 0 if it was not.
         bodies: Request bodies and unparsed bytes.
         heads: Request heads.
         responses: Buffered responses, and the unsent bytes of clients' connections.
@@ -70,6 +71,11 @@
         # Resident memory above which something has to be freed; never less than the process needs to serve at all.
         self._resident_limit_bytes = 0
         self._scarce_used_bytes = self._scarce_resident_bytes = 0  # above them memory is scarce
+        self._peak_resident_bytes = self._peak_used_bytes = 0
+        self._exhausted_used_bytes = MIN_AVAILABLE_BYTES  # `available_bytes`
+        self._full_used_bytes = self._full_resident_bytes = (
+            0  # above one of them an exhausted process is full
+        )
 
     def divide(self, node_limit_bytes: int, process_count: int) -> None:
         """Set the limit of the process, and divide what is available between the holders.
@@ -85,12 +91,28 @@
         self._resident_limit_bytes = max(
             self.limit_bytes - self.reserve_bytes, self.baseline_bytes + MIN_AVAILABLE_BYTES
         )
+        self._exhausted_used_bytes = available
+        full_reserve_bytes = int(self.reserve_bytes * FULL_RESERVE_SHARE)
+        self._full_used_bytes = available + full_reserve_bytes
+        self._full_resident_bytes = self._resident_limit_bytes + full_reserve_bytes
         self._scarce_used_bytes = int(available * SCARCE_SHARE)
         self._scarce_resident_bytes = self._resident_limit_bytes - self._scarce_used_bytes
         self.bodies.limit_bytes = int(available * BODY_SHARE)
         self.heads.limit_bytes = int(available * HEAD_SHARE)
         self.responses.limit_bytes = int(available * RESPONSE_SHARE)
 
+    def record_resident(self, resident_bytes: int) -> None:
+        """Record the resident memory of the process, less what holders have freed and not given back to the system.
+
+        Resident memory seldom falls when holders free theirs: the allocator keeps it for what they take next.
+        """
+        used_bytes = self.used_bytes
+        self._peak_used_bytes = max(self._peak_used_bytes, used_bytes)
+        self._peak_resident_bytes = max(self._peak_resident_bytes, resident_bytes)
+        given_back_bytes = self._peak_resident_bytes - resident_bytes
+        reusable_bytes = max(0, self._peak_used_bytes - used_bytes - given_back_bytes)
+        self.resident_bytes = resident_bytes - reusable_bytes
+
     @property
     def reserve_bytes(self) -> int:
         """Part of the limit that holders never take."""
@@ -117,24 +139,24 @@
     @property
     def is_scarce(self) -> bool:
         """True if holders should take small pieces only."""
-        if self.resident_bytes > self._scarce_resident_bytes:
+        if self.resident_bytes > self._scarce_resident_bytes or self.responses.exceeded:
             return True
         return self.used_bytes > self._scarce_used_bytes
 
     @property
     def excess_bytes(self) -> int:
-        """What has to be freed; 0 or less if nothing has.
-
-        Resident memory seldom falls when holders free theirs: the allocator keeps it for what comes next. So it counts
-        only while the holders have much of it.
-        """
-        used_bytes = self.used_bytes
-        counted_excess = used_bytes - self.available_bytes
-        if used_bytes <= self._scarce_used_bytes:
-            return counted_excess
-        return max(counted_excess, self.resident_bytes - self._resident_limit_bytes)
+        """What has to be freed; 0 or less if nothing has."""
+        return max(self.used_bytes - self.available_bytes, self.resident_bytes - self._resident_limit_bytes)
 
     @property
     def is_exhausted(self) -> bool:
-        """True if nothing more may be taken."""
+        """True if nothing more may be taken, except for short requests and for responses."""
         return self.excess_bytes > 0
+
+    @property
+    def is_full(self) -> bool:
+        """True if no more requests are sent to servers: a response could take the process over its limit."""
+        used_bytes = self.used_bytes
+        if used_bytes <= self._exhausted_used_bytes:
+            return False
+        return used_bytes > self._full_used_bytes or self.resident_bytes > self._full_resident_bytes
--- a/rosewheel/proxy/memory_watch.py
+++ b/rosewheel/proxy/memory_watch.py
@@ -67,14 +67,15 @@
     def _read(self) -> None:
         loop, memory = self._context.loop, self._context.memory
         self._timer = loop.call_later(INTERVAL_S, self._read)
-        memory.resident_bytes = read_resident_memory().total_bytes
+        resident_bytes = read_resident_memory().total_bytes
+        memory.record_resident(resident_bytes)
         if not memory.is_exhausted:
             return
         if loop.time() - self._logged_s >= LOG_INTERVAL_S:
             self._logged_s = loop.time()
             log.warning(
                 "memory exhausted: resident_kb=%d, limit_kb=%d, bodies_kb=%d, heads_kb=%d, responses_kb=%d, clients=%d",
-                memory.resident_bytes >> 10,
+                resident_bytes >> 10,
                 memory.limit_bytes >> 10,
                 memory.bodies.used_bytes >> 10,
                 memory.heads.used_bytes >> 10,
--- a/tests/http/test_memory_account.py
+++ b/tests/http/test_memory_account.py
@@ -86,7 +86,6 @@
     assert account.max_connections > 0
     assert not account.is_exhausted
     account.resident_bytes += 2 * MIN_AVAILABLE_BYTES
-    account.bodies.used_bytes = account.available_bytes
     assert account.is_exhausted
 
 
@@ -95,8 +94,40 @@
     account = MemoryAccount()
     account.baseline_bytes = 26 << 20
     account.divide(32 << 20, 1)
-    account.resident_bytes = account.limit_bytes
     account.bodies.used_bytes = account.available_bytes
+    account.record_resident(account.limit_bytes)
     assert account.is_exhausted
     account.bodies.used_bytes = account.available_bytes // 4
+    account.record_resident(account.limit_bytes)
     assert not account.is_exhausted
+    account.bodies.used_bytes = account.available_bytes
+    account.record_resident(account.limit_bytes)
+    assert account.is_exhausted
+
+
+def test_memory_that_was_given_back_is_not_counted_as_free_again():
+    account = MemoryAccount()
+    account.baseline_bytes = 26 << 20
+    account.divide(32 << 20, 1)
+    account.bodies.used_bytes = account.available_bytes
+    account.record_resident(account.limit_bytes)
+    account.bodies.used_bytes = 0
+    account.record_resident(account.baseline_bytes)
+    assert account.resident_bytes == account.baseline_bytes
+
+
+def test_process_is_full_before_it_reaches_its_limit():
+    account = MemoryAccount()
+    account.baseline_bytes = 28 << 20
+    account.divide(32 << 20, 1)
+    account.bodies.used_bytes = account.available_bytes + 1
+    assert account.is_exhausted
+    assert not account.is_full
+    account.resident_bytes = account.limit_bytes
+    assert account.is_full
+    account.resident_bytes = account.baseline_bytes
+    account.bodies.used_bytes += account.reserve_bytes
+    assert account.is_full
+    account.resident_bytes = account.limit_bytes
+    account.bodies.used_bytes = account.available_bytes // 4
+    assert not account.is_full
--- a/tests/http/test_memory_limit.py
+++ b/tests/http/test_memory_limit.py
@@ -23,6 +23,7 @@
 PIECE_BYTES = 1 << 16
 USUAL_INTERVAL_S = 0.05
 MIN_SERVED_SHARE = 0.8  # of the usual clients' requests
+ARRIVAL_INTERVAL_S = 0.01
 UPLOADS_AFTER = 10
 UPLOAD_AFTER_BYTES = 100_000
 BURST_REQUESTS = 12
@@ -82,7 +83,8 @@
 }
 
 
-async def join_crowd(member: Member, number: int, port: int) -> None:
+async def join_crowd(member: Member, number: int, port: int, delay_s: float) -> None:
+    await asyncio.sleep(delay_s)
     with contextlib.suppress(OSError, asyncio.IncompleteReadError):
         async with Client(port=port) as client:
             await member(client, number)
@@ -139,6 +141,7 @@
     clients: int,
     usual: Callable[[int], Coroutine[None, None, None]],
     after: Callable[[int], Coroutine[None, None, None]] | None = None,
+    interval_s: float = 0.0,
 ) -> float:
     """Play a crowd against a node beside usual clients; return the largest resident memory of the node in MB.
 
@@ -148,6 +151,7 @@
         clients: Size of the crowd.
         usual: What the usual clients do, given the node's port; the crowd leaves at its end.
         after: What clients do after the crowd has left.
+        interval_s: Time between the arrivals of two members.
     """
     peak_mb = 0.0
     async with RawServer(serve).up() as server:
@@ -162,7 +166,9 @@
             await asyncio.to_thread(lambda: connect(process, port).close())
             members = KINDS[kind]
             crowd = [
-                asyncio.ensure_future(join_crowd(members[number % len(members)], number, port))
+                asyncio.ensure_future(
+                    join_crowd(members[number % len(members)], number, port, number * interval_s)
+                )
                 for number in range(clients)
             ]
             playing = asyncio.ensure_future(usual(port))
@@ -196,6 +202,28 @@
     run(main())
 
 
+@pytest.mark.parametrize("clients", [150, 300])
+def test_long_responses_that_begin_one_after_another_stay_within_the_memory_limit(
+    clients: int, tmp_path: Path
+):
+    """Guards against a node that sends ever more requests to servers while slow readers hold all of its memory."""
+
+    async def main() -> None:
+        usual, after = list[int](), list[int]()
+        peak_mb = await play_crowd(
+            tmp_path,
+            "readers",
+            clients,
+            lambda port: send_usual_requests(port, usual),
+            lambda port: upload(port, after),
+            ARRIVAL_INTERVAL_S,
+        )
+        assert peak_mb < MEMORY_MB
+        assert after == [200] * UPLOADS_AFTER
+
+    run(main())
+
+
 @pytest.mark.parametrize("kind", ["half", "slow", "readers"])
 def test_uploads_are_served_once_a_crowd_has_left(kind: str, tmp_path: Path):
     """Guards against a node that stays exhausted: its resident memory does not fall when its clients leave."""
--- a/tests/http/test_memory_refusals.py
+++ b/tests/http/test_memory_refusals.py
@@ -151,3 +151,18 @@
                 assert proxy.memory.bodies.used_bytes == proxy.memory.heads.used_bytes == 0
 
     run(main())
+
+
+def test_a_full_node_sends_no_request_to_a_server_and_serves_again_later():
+    """Guards against a node that is killed for memory, since each response takes some more."""
+
+    async def main() -> None:
+        async with FakeServer().up() as server, node([entry("s", server.port)]) as proxy:
+            async with Client(proxy) as client:
+                proxy.memory.responses.used_bytes = proxy.memory.limit_bytes
+                assert status(await client.request("read", id="refused")) == 503
+                proxy.memory.responses.used_bytes = 0
+                assert status(await client.request("read", id="served")) == 200
+            assert [message.headers["request-id"] for message in server.requests] == ["served"]
+
+    run(main())
